--- /dev/null
+++ b/src/bramleypin/__init__.py
@@ -0,0 +1,3 @@
+"""bramleypin, a layer-4 load balancer for small operators."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/bramleypin/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints JSON rows against a baseline."""
--- /dev/null
+++ b/src/bramleypin/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small deployment on loopback that shows planned changes."""
--- /dev/null
+++ b/src/bramleypin/internal/__init__.py
@@ -0,0 +1,1 @@
+"""The machinery behind the public modules; its interfaces may change."""
--- /dev/null
+++ b/src/bramleypin/internal/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside an endpoint: flows, requests, admission."""
--- /dev/null
+++ b/src/bramleypin/internal/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer: ingress, forwarding, opening of flows."""
--- /dev/null
+++ b/src/bramleypin/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""How configuration and membership reach all processes."""
--- /dev/null
+++ b/src/bramleypin/internal/model/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration documents and the views derived from them."""
--- /dev/null
+++ b/src/bramleypin/internal/model/view.py
@@ -0,0 +1,287 @@
+"""A process's copy of the configuration, compact and immutable.
+
+Services stay encoded and are decoded on first use, because 3,600 decoded
+services with 7,400 endpoints would take a large part of a daemon's memory.
+"""
+
+import collections
+import dataclasses
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.model import configuration
+
+# A flow opened under one of this many earlier versions of its service is
+# still found by asking the endpoints chosen then.
+VERSIONS_KEPT = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointView:
+    """An endpoint as placement and forwarding use it."""
+
+    id: str
+    failure_domain: str
+    data: address.Address
+    control: address.Address
+    slots: int
+    cold_slots: int
+    ramp_s: float
+    connections: int
+    weight: float
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceView:
+    """A service as balancers and agents use it."""
+
+    name: str
+    protocol: str
+    addresses: tuple[address.Address, ...]
+    endpoints: tuple[EndpointView, ...]
+    run_once: frozenset[str]
+    max_duration_s: float
+    objective: configuration.Objective
+
+    def endpoint(self, endpoint_id: str) -> EndpointView | None:
+        """Return the endpoint with an id, or ``None``."""
+        for endpoint in self.endpoints:
+            if endpoint.id == endpoint_id:
+                return endpoint
+        return None
+
+
+def _endpoint_view(endpoint: configuration.Endpoint) -> EndpointView:
+    return EndpointView(
+        id=endpoint.id,
+        failure_domain=endpoint.failure_domain,
+        data=address.parse(endpoint.data),
+        control=address.parse(endpoint.control),
+        slots=endpoint.slots,
+        cold_slots=endpoint.cold_slots,
+        ramp_s=endpoint.ramp_s,
+        connections=endpoint.connections,
+        weight=endpoint.weight,
+        leaving=endpoint.state == "leaving",
+    )
+
+
+def service_view(encoded: bytes, name: str) -> ServiceView:
+    """Decode a service document.
+
+    :raises errors.InvalidConfiguration: when it is malformed.
+    """
+    document = configuration.decode(
+        encoded, configuration.Service, f"service {name}"
+    )
+    return ServiceView(
+        name=document.name,
+        protocol=document.protocol,
+        addresses=tuple(address.parse(text) for text in document.addresses),
+        endpoints=tuple(_endpoint_view(item) for item in document.endpoints),
+        run_once=frozenset(document.run_once),
+        max_duration_s=document.max_duration_s,
+        objective=document.objective,
+    )
+
+
+EMPTY_MANIFEST = configuration.Manifest(
+    format=configuration.FORMAT,
+    revision=0,
+    digest_by_shard={},
+    failure_domain_by_name={},
+)
+
+
+class View:
+    """One accepted revision of the configuration.
+
+    ``earlier_by_service`` holds the encoded earlier versions of a service,
+    newest first, of which at most ``VERSIONS_KEPT`` are kept.
+    """
+
+    def __init__(
+        self,
+        manifest: configuration.Manifest,
+        encoded_by_service: dict[str, bytes],
+        service_by_address: dict[address.Address, str],
+        earlier_by_service: dict[str, tuple[bytes, ...]],
+        decoded_limit: int = 256,
+    ):
+        self.manifest = manifest
+        self.encoded_by_service = encoded_by_service
+        self.service_by_address = service_by_address
+        self.earlier_by_service = earlier_by_service
+        self._decoded_limit = decoded_limit
+        self._decoded: collections.OrderedDict[bytes, ServiceView] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision; 0 before the first one is accepted."""
+        return self.manifest.revision
+
+    def is_out(self, failure_domain: str) -> bool:
+        """Tell whether a failure domain is taken out of service."""
+        entry = self.manifest.failure_domain_by_name.get(failure_domain)
+        return entry is not None and entry.out
+
+    def service_at(self, at: address.Address) -> str | None:
+        """Return the name of the service that has an address."""
+        return self.service_by_address.get(at)
+
+    def service(self, name: str) -> ServiceView | None:
+        """Return a service of this revision, or ``None``."""
+        encoded = self.encoded_by_service.get(name)
+        return None if encoded is None else self._decode(encoded, name)
+
+    def earlier(self, name: str) -> list[ServiceView]:
+        """Return the earlier versions of a service, newest first."""
+        versions = self.earlier_by_service.get(name, ())
+        return [self._decode(encoded, name) for encoded in versions]
+
+    def _decode(self, encoded: bytes, name: str) -> ServiceView:
+        decoded = self._decoded.get(encoded)
+        if decoded is None:
+            decoded = service_view(encoded, name)
+            self._decoded[encoded] = decoded
+            if len(self._decoded) > self._decoded_limit:
+                self._decoded.popitem(last=False)
+        else:
+            self._decoded.move_to_end(encoded)
+        return decoded
+
+
+def empty() -> View:
+    """Return the view of a process that has read nothing yet."""
+    return View(EMPTY_MANIFEST, {}, {}, {})
+
+
+def advance(
+    current: View,
+    manifest: configuration.Manifest,
+    changed: dict[str, bytes | None],
+    decoded_limit: int = 256,
+) -> View:
+    """Return the view that a newer revision gives; ``current`` stays as is.
+
+    ``changed`` maps service names to their encoded documents, or to ``None``
+    when they were removed.
+
+    :raises errors.StaleRevision: when the revision is not higher.
+    :raises errors.ConflictingRevision: when it is the same revision with
+        other contents.
+    :raises errors.InvalidConfiguration: when a document is invalid or the
+        digests do not match; nothing of it is used.
+    """
+    if manifest.revision == current.revision and manifest != current.manifest:
+        raise errors.ConflictingRevision(manifest.revision)
+    if manifest.revision <= current.revision:
+        raise errors.StaleRevision(manifest.revision, current.revision)
+    encoded_by_service = dict(current.encoded_by_service)
+    service_by_address = dict(current.service_by_address)
+    earlier = dict(current.earlier_by_service)
+    for name, encoded in changed.items():
+        _replace(name, encoded, encoded_by_service, earlier)
+    _remove_addresses(current, changed, service_by_address)
+    _add_addresses(manifest, changed, service_by_address)
+    _check_domains(current, manifest, encoded_by_service)
+    _check_digests(manifest, encoded_by_service)
+    return View(
+        manifest,
+        encoded_by_service,
+        service_by_address,
+        earlier,
+        decoded_limit,
+    )
+
+
+def _replace(
+    name: str,
+    encoded: bytes | None,
+    encoded_by_service: dict[str, bytes],
+    earlier: dict[str, tuple[bytes, ...]],
+) -> None:
+    before = encoded_by_service.pop(name, None)
+    if encoded is not None:
+        encoded_by_service[name] = encoded
+    if before is not None and before != encoded:
+        earlier[name] = (before, *earlier.get(name, ()))[:VERSIONS_KEPT]
+
+
+def _remove_addresses(
+    current: View,
+    changed: dict[str, bytes | None],
+    service_by_address: dict[address.Address, str],
+) -> None:
+    for name in changed:
+        before = current.service(name)
+        if before is not None:
+            for item in before.addresses:
+                service_by_address.pop(item, None)
+
+
+def _add_addresses(
+    manifest: configuration.Manifest,
+    changed: dict[str, bytes | None],
+    service_by_address: dict[address.Address, str],
+) -> None:
+    for name, encoded in changed.items():
+        if encoded is None:
+            continue
+        document = configuration.decode(
+            encoded, configuration.Service, f"service {name}"
+        )
+        if document.name != name:
+            raise errors.InvalidConfiguration(
+                f"service {name}", "name", f"is {document.name}"
+            )
+        configuration.check_service(document, manifest)
+        for text in document.addresses:
+            item = address.parse(text)
+            other = service_by_address.get(item)
+            if other is not None:
+                raise errors.InvalidConfiguration(
+                    f"service {name}", "addresses", f"{text} is {other}'s"
+                )
+            service_by_address[item] = name
+
+
+def _check_domains(
+    current: View,
+    manifest: configuration.Manifest,
+    encoded_by_service: dict[str, bytes],
+) -> None:
+    before = current.manifest.failure_domain_by_name
+    removed = before.keys() - manifest.failure_domain_by_name.keys()
+    if not removed:
+        return
+    for name, encoded in encoded_by_service.items():
+        for endpoint in service_view(encoded, name).endpoints:
+            if endpoint.failure_domain in removed:
+                raise errors.InvalidConfiguration(
+                    f"service {name}",
+                    f"endpoints.{endpoint.id}",
+                    f"unknown failure domain {endpoint.failure_domain}",
+                )
+
+
+def _check_digests(
+    manifest: configuration.Manifest, encoded_by_service: dict[str, bytes]
+) -> None:
+    by_shard: dict[int, dict[str, bytes]] = {}
+    for name, encoded in encoded_by_service.items():
+        shard = configuration.shard_of(name)
+        by_shard.setdefault(shard, {})[name] = encoded
+    if by_shard.keys() - manifest.digest_by_shard.keys():
+        raise errors.InvalidConfiguration(
+            "manifest", "digest_by_shard", "lacks a shard that has services"
+        )
+    for shard, digest in manifest.digest_by_shard.items():
+        actual = configuration.shard_digest(by_shard.get(shard, {}))
+        if actual != digest:
+            raise errors.InvalidConfiguration(
+                f"shard {shard}", "digest", "does not match the manifest"
+            )
--- /dev/null
+++ b/src/bramleypin/internal/net/__init__.py
@@ -0,0 +1,1 @@
+"""Ports, links and the platform client, real implementations."""
--- /dev/null
+++ b/src/bramleypin/internal/net/environment.py
@@ -0,0 +1,128 @@
+"""The interfaces to everything outside a process, and their bundle.
+
+Each has a real implementation (sockets, websockets, HTTP) and a fake one, so
+that the same balancer and agent run over loopback and under a virtual clock.
+"""
+
+import dataclasses
+import random
+import typing
+
+from bramleypin.internal import address
+
+
+class DatagramPort(typing.Protocol):
+    """A bound UDP port."""
+
+    address: address.Address
+
+    def send(self, data: bytes, to: address.Address) -> None:
+        """Send one datagram; never blocks, and drops it when it cannot."""
+
+    async def receive(self) -> tuple[bytes, address.Address]:
+        """Wait for a datagram and its sender.
+
+        :raises errors.PortClosed: when the port is or gets closed.
+        """
+
+    def receive_nowait(self) -> tuple[bytes, address.Address] | None:
+        """Return a datagram that has arrived already, or ``None``."""
+
+    async def aclose(self) -> None:
+        """Close the port."""
+
+
+class EndpointPort(typing.Protocol):
+    """A UDP port connected to one remote address, which shows refusals."""
+
+    def send(self, data: bytes) -> None:
+        """Send one datagram to the remote address."""
+
+    async def receive(self) -> bytes:
+        """Wait for a datagram from the remote address.
+
+        :raises errors.EndpointRefused: when the remote host reports that
+            nothing listens there.
+        :raises errors.PortClosed: when the port is or gets closed.
+        """
+
+    async def aclose(self) -> None:
+        """Close the port."""
+
+
+class ControlLink(typing.Protocol):
+    """A connection that carries whole messages in order."""
+
+    async def send(self, message: bytes) -> None:
+        """Send a message.
+
+        :raises errors.LinkClosed: when the connection has ended.
+        """
+
+    async def receive(self) -> bytes:
+        """Wait for a message.
+
+        :raises errors.LinkClosed: when the connection has ended.
+        """
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+
+
+LinkHandler = typing.Callable[[ControlLink], typing.Awaitable[None]]
+
+
+class ControlNetwork(typing.Protocol):
+    """Opens and accepts control links."""
+
+    async def connect(self, to: address.Address) -> ControlLink:
+        """Open a link.
+
+        :raises errors.PeerUnreachable: when nobody accepts it.
+        """
+
+    async def serve(self, at: address.Address, handler: LinkHandler) -> None:
+        """Accept links until cancelled, with one task for each."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PlatformValue:
+    """A value of the configuration service; its index grows on change."""
+
+    key: str
+    index: int
+    value: bytes
+
+
+class PlatformSource(typing.Protocol):
+    """The configuration service, which is only read and watched."""
+
+    async def read(self, key: str) -> PlatformValue:
+        """Read a value.
+
+        :raises errors.PlatformUnavailable: when the service does not answer.
+        :raises errors.PlatformKeyMissing: when there is no such key.
+        """
+
+    async def watch(
+        self, key: str, after: int, wait_s: float
+    ) -> PlatformValue | None:
+        """Wait until the key's index exceeds ``after``; ``None`` if not.
+
+        :raises errors.PlatformUnavailable: when the service does not answer.
+        """
+
+
+@dataclasses.dataclass
+class Environment:
+    """All outside interfaces of one process."""
+
+    open_datagram_port: typing.Callable[
+        [address.Address], typing.Awaitable[DatagramPort]
+    ]
+    open_endpoint_port: typing.Callable[
+        [address.Address], typing.Awaitable[EndpointPort]
+    ]
+    control: ControlNetwork
+    platform: PlatformSource
+    random: random.Random
--- /dev/null
+++ b/src/bramleypin/internal/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, trace ring and outcome windows."""
--- /dev/null
+++ b/src/bramleypin/internal/observe/metrics.py
@@ -0,0 +1,78 @@
+"""Metrics, sent by statsd; every name is declared with unit and meaning."""
+
+import dataclasses
+
+import anyio
+import statsd
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal import registry
+
+
+@dataclasses.dataclass(frozen=True)
+class Metric:
+    """A declared metric; ``kind`` is counter, gauge or timing."""
+
+    name: str
+    kind: str
+    unit: str
+    meaning: str
+
+
+METRICS: registry.Registry[Metric] = registry.Registry("metric")
+
+
+def declare(name: str, kind: str, unit: str, meaning: str) -> str:
+    """Declare a metric at import time and return its name."""
+    METRICS.register(name)(Metric(name, kind, unit, meaning))
+    return name
+
+
+@kernel_module.service("metrics", roles=("balancer", "agent"))
+class Metrics(kernel_module.Service):
+    """Counts in memory and sends the increments at an interval."""
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self.count_by_name: dict[str, int] = {}
+        self.gauge_by_name: dict[str, float] = {}
+        self._sent_by_name: dict[str, int] = {}
+        self._client: statsd.StatsClient | None = None
+
+    async def start(self) -> None:
+        """Create the client unless metrics are turned off (port 0)."""
+        settings = self.kernel.settings.metrics
+        if settings.port:
+            self._client = statsd.StatsClient(
+                settings.host, settings.port, prefix=settings.prefix
+            )
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add to a counter."""
+        self.count_by_name[name] = self.count_by_name.get(name, 0) + n
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauge_by_name[name] = value
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Report a duration; only its latest value is kept in memory."""
+        self.gauge_by_name[name] = seconds
+        if self._client is not None:
+            self._client.timing(name, seconds * 1000)
+
+    async def run(self) -> None:
+        """Send what has changed, once an interval."""
+        while self._client is not None:
+            await anyio.sleep(self.kernel.settings.metrics.interval_s)
+            self._flush(self._client)
+
+    def _flush(self, client: statsd.StatsClient) -> None:
+        with client.pipeline() as pipe:
+            for name, value in self.count_by_name.items():
+                increment = value - self._sent_by_name.get(name, 0)
+                if increment:
+                    pipe.incr(name, increment)
+                    self._sent_by_name[name] = value
+            for name, value in self.gauge_by_name.items():
+                pipe.gauge(name, value)
--- /dev/null
+++ b/src/bramleypin/internal/observe/trace.py
@@ -0,0 +1,40 @@
+"""The trace ring: why a flow or request went where it went."""
+
+import collections
+import dataclasses
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One decision; ``time_s`` is on the process's monotonic clock."""
+
+    time_s: float
+    flow: str
+    decision: str
+    reason: str
+    revision: int
+
+
+@kernel_module.service("trace", roles=("balancer", "agent"))
+class Trace(kernel_module.Service):
+    """A bounded ring of the latest decisions."""
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        size = kernel.settings.limits.trace_entries
+        self.entries: collections.deque[Entry] = collections.deque(maxlen=size)
+
+    def record(self, flow: str, decision: str, reason: str) -> None:
+        """Record a decision under the revision that is in force."""
+        view_store = self.kernel.service_by_name.get("view")
+        revision = 0 if view_store is None else view_store.view.revision
+        now = anyio.current_time()
+        self.entries.append(Entry(now, flow, decision, reason, revision))
+
+    def find(self, text: str) -> list[Entry]:
+        """Return the entries whose flow contains a text, oldest first."""
+        return [entry for entry in self.entries if text in entry.flow]
--- /dev/null
+++ b/src/bramleypin/internal/tool/__init__.py
@@ -0,0 +1,1 @@
+"""What the commands of the command-line tool do."""
--- /dev/null
+++ b/src/bramleypin/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Formats of the datagrams that processes exchange."""
--- /dev/null
+++ b/src/bramleypin/internal/wire/coap.py
@@ -0,0 +1,195 @@
+"""CoAP messages (RFC 7252) through aiocoap's codec, and our options."""
+
+import enum
+
+import aiocoap
+from aiocoap.numbers import codes
+from aiocoap.numbers import optionnumbers
+from aiocoap.numbers import types
+from aiocoap import optiontypes
+
+from bramleypin import errors
+
+ECHO = 252  # RFC 9175; carries the pin
+DEADLINE = 65000  # elective, uint, milliseconds left
+CANCEL = 65001  # critical, empty
+OUTCOME = 65008  # elective, uint, see Outcome
+
+CON = types.CON
+NON = types.NON
+ACK = types.ACK
+RST = types.RST
+
+IDEMPOTENT_METHODS = frozenset(("GET", "PUT", "DELETE", "FETCH", "iPATCH"))
+
+_PAYLOAD_MARKER = 0xFF
+_FIRST_BYTES = 4
+
+Message = aiocoap.Message
+
+
+class Outcome(enum.IntEnum):
+    """What became of a request; not present on an endpoint's answer."""
+
+    NOT_RUN = 1
+    UNKNOWN = 2
+    INVALID = 3
+
+
+def decode(data: bytes) -> Message:
+    """Decode a datagram.
+
+    :raises errors.InvalidFrame: when it is no CoAP message.
+    """
+    try:
+        return Message.decode(data)
+    except Exception as error:
+        raise errors.InvalidFrame("coap_format", str(error)) from error
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message whose type, code and message id are set."""
+    return message.encode()
+
+
+def message(
+    kind: types.Type,
+    code: int,
+    mid: int,
+    token: bytes = b"",
+    payload: bytes = b"",
+) -> Message:
+    """Build a message to send; ``mid`` is 0 to 65,535."""
+    return Message(
+        code=code, _mtype=kind, _mid=mid, _token=token, payload=payload
+    )
+
+
+def method_name(code: int) -> str:
+    """Return the name of a request code, for example ``"GET"``."""
+    return codes.Code(code).name
+
+
+def is_request(code: int) -> bool:
+    """Tell whether a code is a method, 0.01 to 0.31."""
+    return 1 <= code <= 31
+
+
+def option(item: Message, number: int) -> bytes | None:
+    """Return the raw value of an option, or ``None`` when it is absent."""
+    for entry in item.opt.get_option(optionnumbers.OptionNumber(number)):
+        return entry.encode()
+    return None
+
+
+def uint_option(item: Message, number: int) -> int | None:
+    """Return an option's value as an unsigned integer, or ``None``."""
+    value = option(item, number)
+    return None if value is None else int.from_bytes(value, "big")
+
+
+def set_option(item: Message, number: int, value: bytes) -> None:
+    """Set an option to a raw value, replacing what is there."""
+    key = optionnumbers.OptionNumber(number)
+    item.opt.delete_option(key)
+    item.opt.add_option(optiontypes.OpaqueOption(key, value))
+
+
+def set_uint_option(item: Message, number: int, value: int) -> None:
+    """Set an option to an unsigned integer in its shortest form."""
+    size = (value.bit_length() + 7) // 8
+    set_option(item, number, value.to_bytes(size, "big"))
+
+
+def outcome(item: Message) -> Outcome | None:
+    """Return the outcome that an answer states, or ``None``."""
+    value = uint_option(item, OUTCOME)
+    try:
+        return None if value is None else Outcome(value)
+    except ValueError:
+        return None
+
+
+def scan_option(data: bytes, wanted: int) -> bytes | None:
+    """Return an option's raw value from a datagram without a full decode.
+
+    The balancer looks for the pin this way, because decoding the message
+    costs about ten times as much.
+
+    :raises errors.InvalidFrame: when the datagram is no CoAP message.
+    """
+    if len(data) < _FIRST_BYTES or data[0] >> 6 != 1:
+        raise errors.InvalidFrame("coap_format")
+    position = _FIRST_BYTES + (data[0] & 0x0F)
+    number = 0
+    try:
+        while position < len(data) and data[position] != _PAYLOAD_MARKER:
+            first = data[position]
+            position += 1
+            delta, position = _extended(first >> 4, data, position)
+            length, position = _extended(first & 0x0F, data, position)
+            number += delta
+            if position + length > len(data):
+                raise errors.InvalidFrame("coap_format")
+            if number == wanted:
+                return data[position : position + length]
+            if number > wanted:
+                return None
+            position += length
+    except IndexError as error:
+        raise errors.InvalidFrame("coap_format") from error
+    return None
+
+
+def _extended(nibble: int, data: bytes, position: int) -> tuple[int, int]:
+    if nibble < 13:
+        return nibble, position
+    if nibble == 13:
+        return data[position] + 13, position + 1
+    if nibble == 14:
+        value = int.from_bytes(data[position : position + 2], "big")
+        return value + 269, position + 2
+    raise errors.InvalidFrame("coap_format")
+
+
+def typed_answer(
+    request: Message,
+    code: int,
+    result: Outcome,
+    reason: str,
+    pin: bytes = b"",
+    max_age_s: int | None = None,
+) -> Message:
+    """Build the answer that the system itself gives to a request.
+
+    ``reason`` is the diagnostic payload (RFC 7252, section 5.5.2) and
+    ``max_age_s`` the time in seconds that the caller should wait.
+    """
+    kind = ACK if request.mtype == CON else NON
+    answer = message(kind, code, request.mid, request.token, reason.encode())
+    set_uint_option(answer, OUTCOME, result)
+    if pin:
+        set_option(answer, ECHO, pin)
+    if max_age_s is not None:
+        answer.opt.max_age = max_age_s
+    return answer
+
+
+def code_number(dotted: str) -> int:
+    """Return the code of ``"5.03"``."""
+    major, _, minor = dotted.partition(".")
+    return int(major) * 32 + int(minor)
+
+
+CONTENT = code_number("2.05")
+CHANGED = code_number("2.04")
+DELETED = code_number("2.02")
+CONTINUE = code_number("2.31")
+BAD_REQUEST = code_number("4.00")
+UNAUTHORIZED = code_number("4.01")
+BAD_OPTION = code_number("4.02")
+REQUEST_ENTITY_INCOMPLETE = code_number("4.08")
+CONFLICT = code_number("4.09")
+REQUEST_TOO_LARGE = code_number("4.13")
+SERVICE_UNAVAILABLE = code_number("5.03")
+GATEWAY_TIMEOUT = code_number("5.04")
--- /dev/null
+++ b/src/bramleypin/internal/wire/frames.py
@@ -0,0 +1,214 @@
+"""Frames between balancers and agents on the data port (UDP).
+
+A frame is ``mac(8) sequence(8) header length(2) header payload``. The header
+is a CBOR array whose first element is the kind. The MAC covers all that
+follows it.
+"""
+
+import dataclasses
+import enum
+import struct
+import typing
+
+import cbor2
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.wire import mac
+
+MAX_FRAME_BYTES = 65_507
+
+_FIXED = struct.Struct("!QH")
+HEADER_START = mac.MAC_BYTES + _FIXED.size
+
+
+class State(enum.IntEnum):
+    """How an agent receives new flows."""
+
+    READY = 0
+    COLD = 1
+    FULL = 2
+    DRAINING = 3
+    OUT = 4
+
+
+class Reason(enum.IntEnum):
+    """Why a NOTICE is sent."""
+
+    NEWER_REVISION = 1
+    STALE_INCARNATION = 2
+    FAILURE_DOMAIN_OUT = 3
+    WRONG_SERVICE = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint's agent and what it answered to a PROBE."""
+
+    data: address.Address
+    state: State
+    load: float
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """A caller's datagram on its way to the owner of its flow.
+
+    ``elapsed_us`` is the time in microseconds that the datagram has spent in
+    processes before. ``candidates`` is used when ``open`` is set.
+    """
+
+    KIND: typing.ClassVar[int] = 1
+    nonce: int
+    incarnation: int
+    revision: int
+    service: str
+    service_address: address.Address
+    caller: address.Address
+    return_address: address.Address
+    pinned: bool
+    open: bool
+    elapsed_us: int = 0
+    candidates: tuple[Candidate, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A datagram for a caller, sent back through a balancer.
+
+    ``pin`` is empty when the flow has none.
+    """
+
+    KIND: typing.ClassVar[int] = 2
+    revision: int
+    service: str
+    service_address: address.Address
+    caller: address.Address
+    owner: address.Address
+    incarnation: int
+    pin: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks an agent whether it holds a flow and how loaded it is."""
+
+    KIND: typing.ClassVar[int] = 3
+    probe_id: int
+    revision: int
+    service: str
+    service_address: address.Address
+    caller: address.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAnswer:
+    """What an agent says to a PROBE; ``load`` 1 means all slots are busy."""
+
+    KIND: typing.ClassVar[int] = 4
+    probe_id: int
+    holds: bool
+    state: State
+    load: float
+    revision: int
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """Tells a sender that it acted on an old view."""
+
+    KIND: typing.ClassVar[int] = 5
+    reason: Reason
+    revision: int
+    control: address.Address
+    incarnation: int
+
+
+Frame = Forward | Answer | Probe | ProbeAnswer | Notice
+
+_CLASS_BY_KIND: dict[int, type] = {
+    item.KIND: item for item in (Forward, Answer, Probe, ProbeAnswer, Notice)
+}
+_ADDRESS_FIELDS = frozenset(
+    ("service_address", "caller", "return_address", "owner", "control")
+)
+
+
+def encode_header(frame: Frame) -> bytes:
+    """Encode a frame's header; constant for the datagrams of one flow."""
+    values: list[typing.Any] = [frame.KIND]
+    for field in dataclasses.fields(frame):
+        value = getattr(frame, field.name)
+        if field.name == "candidates":
+            value = [[*item.data, *_candidate_tail(item)] for item in value]
+        values.append(value)
+    return cbor2.dumps(values)
+
+
+def _candidate_tail(item: Candidate) -> tuple[int, float, int]:
+    return int(item.state), item.load, item.incarnation
+
+
+def seal(key: bytes, sequence: int, header: bytes, payload: bytes) -> bytes:
+    """Return the frame as sent: MAC, sequence, header and payload."""
+    body = _FIXED.pack(sequence, len(header)) + header + payload
+    return mac.sign(key, body) + body
+
+
+def encode(
+    frame: Frame, key: bytes, sequence: int = 0, payload: bytes = b""
+) -> bytes:
+    """Encode and sign a frame."""
+    return seal(key, sequence, encode_header(frame), payload)
+
+
+def decode(data: bytes, keys: tuple[bytes, ...]) -> tuple[Frame, int, bytes]:
+    """Check and decode a frame into frame, sequence and payload.
+
+    :raises errors.InvalidFrame: with the reason to count it under.
+    """
+    if len(data) < HEADER_START:
+        raise errors.InvalidFrame("frame_truncated")
+    if not mac.verify(keys, data[: mac.MAC_BYTES], data[mac.MAC_BYTES :]):
+        raise errors.InvalidFrame("frame_mac")
+    sequence, length = _FIXED.unpack_from(data, mac.MAC_BYTES)
+    end = HEADER_START + length
+    if len(data) < end:
+        raise errors.InvalidFrame("frame_truncated")
+    frame = _decode_header(data[HEADER_START:end])
+    return frame, sequence, data[end:]
+
+
+def _decode_header(header: bytes) -> Frame:
+    try:
+        values = cbor2.loads(header)
+        kind = _CLASS_BY_KIND[values[0]]
+        fields = dataclasses.fields(kind)
+        if len(values) != len(fields) + 1:
+            raise errors.InvalidFrame("frame_fields")
+        arguments = {}
+        for field, value in zip(fields, values[1:], strict=True):
+            arguments[field.name] = _decode_field(field.name, value)
+        return kind(**arguments)
+    except errors.InvalidFrame:
+        raise
+    except Exception as error:
+        raise errors.InvalidFrame("frame_header", str(error)) from error
+
+
+def _decode_field(name: str, value: typing.Any) -> typing.Any:
+    if name in _ADDRESS_FIELDS:
+        host, port = value
+        return address.Address(host, port)
+    if name == "candidates":
+        return tuple(
+            Candidate(address.Address(host, port), State(state), load, number)
+            for host, port, state, load, number in value
+        )
+    if name == "state":
+        return State(value)
+    if name == "reason":
+        return Reason(value)
+    return value
--- /dev/null
+++ b/src/bramleypin/internal/wire/mac.py
@@ -0,0 +1,16 @@
+"""Keyed checksums of datagrams and pins (BLAKE2s, RFC 7693)."""
+
+import hashlib
+import hmac
+
+MAC_BYTES = 8
+
+
+def sign(key: bytes, data: bytes) -> bytes:
+    """Return the MAC (8 bytes) of ``data`` under a 32-byte key."""
+    return hashlib.blake2s(data, digest_size=MAC_BYTES, key=key).digest()
+
+
+def verify(keys: tuple[bytes, ...], mac: bytes, data: bytes) -> bool:
+    """Tell whether a MAC is right under any of the valid keys."""
+    return any(hmac.compare_digest(sign(key, data), mac) for key in keys)
--- /dev/null
+++ b/src/bramleypin/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step."""
--- /dev/null
+++ b/src/bramleypin/settings.py
@@ -0,0 +1,232 @@
+"""The settings of a daemon: one frozen object, validated when loaded."""
+
+import binascii
+import pathlib
+import tomllib
+import typing
+
+import msgspec
+
+from bramleypin import errors
+from bramleypin.internal import address
+
+KEY_BYTES = 32
+MAX_KEYS = 2
+
+Role = typing.Literal["balancer", "agent"]
+
+
+class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of the settings tables: immutable, and strict about names."""
+
+
+class Addresses(_Table):
+    """Where the process listens; both are ``host:port``."""
+
+    data: str
+    control: str
+
+    @property
+    def data_address(self) -> address.Address:
+        """UDP address for frames between processes."""
+        return address.parse(self.data)
+
+    @property
+    def control_address(self) -> address.Address:
+        """TCP address for control links."""
+        return address.parse(self.control)
+
+
+class Ingress(_Table):
+    """How a balancer receives datagrams of callers.
+
+    ``proxied`` listens at ``address`` for datagrams with a PROXY protocol v2
+    header; ``direct`` listens on every local address at ``ports``.
+    """
+
+    variant: str = "proxied"
+    address: str = "127.0.0.1:0"
+    ports: tuple[int, ...] = (5683,)
+
+
+class Platform(_Table):
+    """The configuration service, which is only read and watched."""
+
+    url: str = "http://127.0.0.1:8500"
+    prefix: str = "bramleypin"
+
+
+class Endpoint(_Table):
+    """The endpoint that an agent runs beside."""
+
+    service: str
+    id: str
+    address: str
+    policy: str = "adaptive"
+
+    @property
+    def endpoint_address(self) -> address.Address:
+        """UDP address of the endpoint on this VM."""
+        return address.parse(self.address)
+
+
+class Metrics(_Table):
+    """Where metrics are sent; port 0 turns them off."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    prefix: str = "bramleypin"
+    interval_s: float = 10.0
+
+
+class Logs(_Table):
+    """What is logged, and whether each line is a JSON object."""
+
+    level: str = "INFO"
+    json: bool = False
+
+
+class Limits(_Table):
+    """Bounds on what a process holds, so that memory stays bounded."""
+
+    flow_cache: int = 200_000
+    request_records: int = 16_384
+    candidates: int = 8
+    waiting_datagrams: int = 8
+    trace_entries: int = 1_024
+    decoded_services: int = 256
+
+
+class Settings(_Table):
+    """Everything that a daemon learns from its settings file."""
+
+    role: Role
+    id: str
+    failure_domain: str
+    keys: tuple[str, ...]
+    addresses: Addresses
+    ingress: Ingress = Ingress()
+    platform: Platform = Platform()
+    endpoint: Endpoint | None = None
+    metrics: Metrics = Metrics()
+    logs: Logs = Logs()
+    limits: Limits = Limits()
+
+    @property
+    def key_bytes(self) -> tuple[bytes, ...]:
+        """Keys in order: the first one signs, all of them verify."""
+        return tuple(binascii.unhexlify(key) for key in self.keys)
+
+
+def _check(settings: Settings, file: str) -> None:
+    if not 1 <= len(settings.keys) <= MAX_KEYS:
+        raise errors.InvalidSettings(
+            file,
+            "keys",
+            f"{len(settings.keys)} keys",
+            "write one key, or two while you rotate them",
+        )
+    for position, key in enumerate(settings.keys):
+        try:
+            valid = len(binascii.unhexlify(key)) == KEY_BYTES
+        except (ValueError, binascii.Error):
+            valid = False
+        if not valid:
+            raise errors.InvalidSettings(
+                file,
+                f"keys[{position}]",
+                f"{len(key)} characters",
+                f"write {2 * KEY_BYTES} hexadecimal digits",
+            )
+    if settings.role == "agent" and settings.endpoint is None:
+        raise errors.InvalidSettings(
+            file,
+            "endpoint",
+            None,
+            "an agent needs the table [endpoint] with service, id and address",
+        )
+    if settings.role == "balancer" and settings.endpoint is not None:
+        raise errors.InvalidSettings(
+            file,
+            "endpoint",
+            settings.endpoint.id,
+            "remove the table [endpoint]; only agents have one",
+        )
+    _check_addresses(settings, file)
+    _check_limits(settings, file)
+
+
+def _check_addresses(settings: Settings, file: str) -> None:
+    text_by_key = {
+        "addresses.data": settings.addresses.data,
+        "addresses.control": settings.addresses.control,
+        "ingress.address": settings.ingress.address,
+    }
+    if settings.endpoint is not None:
+        text_by_key["endpoint.address"] = settings.endpoint.address
+    for key, text in text_by_key.items():
+        try:
+            address.parse(text)
+        except errors.InvalidFrame:
+            raise errors.InvalidSettings(
+                file,
+                key,
+                text,
+                "write an IPv4 address and a port, "
+                "for example 127.0.0.1:7000",
+            ) from None
+
+
+def _check_limits(settings: Settings, file: str) -> None:
+    for name in settings.limits.__struct_fields__:
+        value = getattr(settings.limits, name)
+        if value < 1:
+            raise errors.InvalidSettings(
+                file, f"limits.{name}", value, "write a number of at least 1"
+            )
+
+
+def parse(text: str, file: str = "settings") -> Settings:
+    """Parse and validate the text of a TOML settings file.
+
+    :raises errors.InvalidSettings: naming the file, key and remedy.
+    """
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise errors.InvalidSettings(
+            file, "(TOML syntax)", str(error), "correct the syntax there"
+        ) from error
+    try:
+        settings = msgspec.convert(table, Settings)
+    except msgspec.ValidationError as error:
+        message, _, path = str(error).partition(" - at ")
+        key = path.strip("`").removeprefix("$.") or "(top level)"
+        raise errors.InvalidSettings(
+            file, key, _value_at(table, key), message
+        ) from error
+    _check(settings, file)
+    return settings
+
+
+def _value_at(table: dict, key: str) -> object:
+    value: object = table
+    for part in key.split("."):
+        if not isinstance(value, dict):
+            return None
+        value = value.get(part)
+    return value
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read and validate a settings file.
+
+    :raises errors.InvalidSettings: when it cannot be read or is invalid.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.InvalidSettings(
+            str(path), "(file)", str(error), "name a readable UTF-8 TOML file"
+        ) from error
+    return parse(text, str(path))
--- /dev/null
+++ b/src/bramleypin/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around bramleypin, for tests."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bramleypin, in folders by purpose."""
--- /dev/null
+++ b/tests/cover/test_wire.py
@@ -0,0 +1,107 @@
+"""Formats of pins, frames and headers."""
+
+import unittest
+
+import parameterized
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.wire import coap
+from bramleypin.internal.wire import frames
+from bramleypin.internal.wire import pin
+from bramleypin.internal.wire import proxy_header
+
+KEY = b"k" * 32
+OTHER_KEY = b"o" * 32
+HERE = address.Address("127.0.0.1", 7000)
+THERE = address.Address("127.0.0.2", 7001)
+PIN = pin.Pin(HERE, 7, 2**48 - 1, 5, 300)
+FORWARD = frames.Forward(
+    1,
+    2,
+    3,
+    "scheduler",
+    HERE,
+    THERE,
+    HERE,
+    False,
+    True,
+    9,
+    (frames.Candidate(HERE, frames.State.COLD, 0.5, 8),),
+)
+
+
+class TestPin(unittest.TestCase):
+    def test_a_pin_of_either_valid_key_is_accepted(self):
+        """Guards against flows lost while keys are rotated."""
+        for key in (KEY, OTHER_KEY):
+            data = pin.encode(PIN, "scheduler", key)
+            decoded = pin.decode(data, "scheduler", (KEY, OTHER_KEY))
+            self.assertEqual(PIN, decoded)
+
+    @parameterized.parameterized.expand(
+        [
+            ("another_service", "planstore", KEY, None),
+            ("an_old_key", "scheduler", OTHER_KEY, None),
+            ("a_changed_byte", "scheduler", KEY, 9),
+        ]
+    )
+    def test_a_forged_pin_is_refused(self, _, service, key, flipped):
+        """Guards against a pin that routes into another service."""
+        data = bytearray(pin.encode(PIN, "scheduler", KEY))
+        if flipped is not None:
+            data[flipped] ^= 1
+        with self.assertRaises(errors.InvalidPin):
+            pin.decode(bytes(data), service, (key,))
+
+
+class TestFrames(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("forward", FORWARD),
+            (
+                "answer",
+                frames.Answer(1, "s", HERE, THERE, HERE, 4, b"pin"),
+            ),
+            ("probe", frames.Probe(1, 2, "s", HERE, THERE)),
+            (
+                "probe_answer",
+                frames.ProbeAnswer(1, True, frames.State.READY, 0.1, 2, 3),
+            ),
+            (
+                "notice",
+                frames.Notice(frames.Reason.NEWER_REVISION, 1, HERE, 2),
+            ),
+        ]
+    )
+    def test_a_frame_survives_encoding(self, _, frame):
+        """Guards against fields lost between versions of the codec."""
+        data = frames.encode(frame, KEY, 77, b"payload")
+        decoded = frames.decode(data, (OTHER_KEY, KEY))
+        self.assertEqual((frame, 77, b"payload"), decoded)
+
+    def test_a_truncated_or_changed_frame_is_refused(self):
+        """Guards against acting on a frame that was damaged on the way."""
+        data = frames.encode(FORWARD, KEY, 1, b"payload")
+        for length in range(len(data)):
+            with self.assertRaises(errors.InvalidFrame):
+                frames.decode(data[:length], (KEY,))
+
+
+class TestHeaders(unittest.TestCase):
+    def test_a_proxy_header_names_both_addresses(self):
+        """Guards against answers that go to the wrong caller."""
+        data = proxy_header.encode(HERE, THERE)
+        self.assertEqual(proxy_header.HEADER_BYTES, len(data))
+        self.assertEqual((HERE, THERE), proxy_header.decode(data))
+
+    def test_the_pin_is_found_without_decoding_the_message(self):
+        """Guards against a fast path that disagrees with the codec."""
+        message = coap.message(coap.CON, 1, 5, b"token")
+        message.opt.uri_path = ("visits", "today")
+        coap.set_option(message, coap.ECHO, b"p" * pin.PIN_BYTES)
+        coap.set_uint_option(message, coap.DEADLINE, 4_000)
+        data = coap.encode(message)
+        for number in (coap.ECHO, coap.DEADLINE, coap.CANCEL):
+            expected = coap.option(coap.decode(data), number)
+            self.assertEqual(expected, coap.scan_option(data, number))
--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by purpose; see CONTRIBUTING.md."""
