Add the virtual network

The fault matrix and the timing tests need processes whose datagrams, links and clocks are under control. The network runs on trio's MockClock, delivers from one queue, and is the same for the same seed. A paused process is held by a trio instrument that takes its tasks out of the run queue, so its timers do not act either.

--- /dev/null
+++ b/src/bramleypin/standins/virtual_links.py
@@ -0,0 +1,203 @@
+"""Control links of the virtual network, in order and as TCP breaks them."""
+
+import collections
+import functools
+import typing
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.net import environment
+
+# A connection attempt over a cut path fails after this time.
+CONNECT_TIMEOUT_S = 10.0
+# What the buffers of both sides of a TCP connection hold together.
+BUFFERED_BYTES = 1_000_000
+
+
+class VirtualLink:
+    """One side of a link; implements ``environment.ControlLink``."""
+
+    def __init__(self, process: typing.Any):
+        self.process = process
+        self.peer: VirtualLink = self
+        self.closed = False
+        self._inbox: collections.deque[bytes] = collections.deque()
+        self._stalled: collections.deque[typing.Callable[[], None]] = (
+            collections.deque()
+        )
+        self._last_due_s = 0.0
+        self._buffered_bytes = 0
+        self._ended = False
+        self._changed = anyio.Event()
+
+    async def send(self, message: bytes) -> None:
+        """Send a message; waits while the peer's buffer is full."""
+        await anyio.lowlevel.checkpoint()
+        while self.peer._buffered_bytes > BUFFERED_BYTES and not self.closed:
+            await self._wait()
+        if self.closed or self._ended:
+            raise errors.LinkClosed("the link is closed")
+        self.peer._buffered_bytes += len(message)
+        self._transmit(functools.partial(self.peer._take, bytes(message)))
+
+    async def receive(self) -> bytes:
+        """Wait for a message; those sent before a close still arrive."""
+        await anyio.lowlevel.checkpoint()
+        while not self._inbox:
+            if self.closed or self._ended:
+                raise errors.LinkClosed("the link is closed")
+            await self._wait()
+        message = self._inbox.popleft()
+        self._buffered_bytes -= len(message)
+        self.peer._notify()
+        return message
+
+    async def aclose(self) -> None:
+        """Close the link on this side; the peer learns it later."""
+        self.close()
+
+    def close(self) -> None:
+        """Close without waiting."""
+        if not self.closed:
+            self.closed = True
+            self._transmit(self.peer._end)
+            self._notify()
+
+    def resume(self) -> None:
+        """Send on what a partition has stalled."""
+        if self._cut():
+            return
+        while self._stalled:
+            self._send_now(self._stalled.popleft())
+
+    async def _wait(self) -> None:
+        self._changed = anyio.Event()
+        await self._changed.wait()
+
+    def _notify(self) -> None:
+        self._changed.set()
+
+    def _cut(self) -> bool:
+        network = self.process.network
+        return network.is_cut(self.process, self.peer.process)
+
+    def _transmit(self, arrival: typing.Callable[[], None]) -> None:
+        if self._stalled or self._cut():
+            self._stalled.append(arrival)
+        else:
+            self._send_now(arrival)
+
+    def _send_now(self, arrival: typing.Callable[[], None]) -> None:
+        network = self.process.network
+        latency_s = network.path_latency_s(self.process, self.peer.process)
+        due_s = max(self._last_due_s, anyio.current_time() + latency_s)
+        self._last_due_s = due_s
+        network.schedule.at(due_s, arrival)
+
+    def _take(self, message: bytes) -> None:
+        if not self.closed:
+            self._inbox.append(message)
+            self._notify()
+
+    def _end(self) -> None:
+        self._ended = True
+        self._notify()
+        network = self.process.network
+        for side in (self, self.peer):
+            if side in network.links and not side._stalled:
+                network.links.remove(side)
+
+
+def link_pair(client: typing.Any, server: typing.Any) -> tuple:
+    """Return the two sides of a new link between processes."""
+    near = VirtualLink(client)
+    far = VirtualLink(server)
+    near.peer, far.peer = far, near
+    for side in (near, far):
+        side.process.control.links.append(side)
+        side.process.network.links.append(side)
+    return near, far
+
+
+class Listener:
+    """Accepts links at an address, also while its process is paused."""
+
+    def __init__(self, process: typing.Any):
+        self.process = process
+        self.arrived: collections.deque[VirtualLink] = collections.deque()
+        self.changed = anyio.Event()
+
+    def offer(self, link: VirtualLink) -> None:
+        """Queue a new link for the process."""
+        self.arrived.append(link)
+        self.changed.set()
+
+
+class VirtualControlNetwork:
+    """One process's view; implements ``environment.ControlNetwork``."""
+
+    def __init__(self, process: typing.Any):
+        self.process = process
+        self.links: list[VirtualLink] = []
+
+    async def connect(self, to: address.Address) -> VirtualLink:
+        """Open a link, after one round trip.
+
+        :raises errors.PeerUnreachable: when nobody listens or the path is
+            cut.
+        """
+        network = self.process.network
+        listener = network.listener_by_address.get(to)
+        server = None if listener is None else listener.process
+        if network.is_cut(self.process, server) or (
+            server is not None and network.is_cut(server, self.process)
+        ):
+            await anyio.sleep(CONNECT_TIMEOUT_S)
+            raise errors.PeerUnreachable(f"no answer from {to}")
+        await anyio.sleep(2 * network.path_latency_s(self.process, server))
+        listener = network.listener_by_address.get(to)
+        if listener is None or not self.process.alive:
+            raise errors.PeerUnreachable(f"nothing listens at {to}")
+        near, far = link_pair(self.process, listener.process)
+        listener.offer(far)
+        return near
+
+    async def serve(
+        self, at: address.Address, handler: environment.LinkHandler
+    ) -> None:
+        """Accept links until cancelled, with one task for each."""
+        network = self.process.network
+        if at in network.listener_by_address:
+            raise OSError(f"address {at} is in use")
+        listener = Listener(self.process)
+        network.listener_by_address[at] = listener
+        try:
+            async with anyio.create_task_group() as tasks:
+                while True:
+                    while listener.arrived:
+                        link = listener.arrived.popleft()
+                        tasks.start_soon(_handle, handler, link)
+                    listener.changed = anyio.Event()
+                    await listener.changed.wait()
+        finally:
+            if network.listener_by_address.get(at) is listener:
+                del network.listener_by_address[at]
+
+    def release(self) -> None:
+        """Break all links and stop listening, as the kernel does."""
+        for link in self.links:
+            link.close()
+        self.links.clear()
+        listeners = self.process.network.listener_by_address
+        for at in list(listeners):
+            if listeners[at].process is self.process:
+                del listeners[at]
+
+
+async def _handle(handler: environment.LinkHandler, link: VirtualLink) -> None:
+    try:
+        await handler(link)
+    finally:
+        link.close()
--- /dev/null
+++ b/src/bramleypin/standins/virtual_network.py
@@ -0,0 +1,301 @@
+"""An in-memory network of processes under a virtual clock.
+
+It implements the interfaces of ``internal/net/environment.py`` and lets a
+test lose, duplicate, reorder and delay datagrams, split the network, and
+kill, pause and wake processes. Everything random comes from one seed.
+
+Run it under trio with ``trio.testing.MockClock(autojump_threshold=0)``; see
+``run`` at the end of this module.
+"""
+
+import collections.abc
+import dataclasses
+import functools
+import itertools
+import random
+import typing
+
+import anyio
+import trio.testing
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.standins import virtual_ports
+from bramleypin.standins import virtual_process
+from bramleypin.standins import virtual_schedule
+
+SAME_HOST_LATENCY_S = 0.00005
+FIRST_EPHEMERAL_PORT = 49_152
+
+
+@dataclasses.dataclass(slots=True)
+class Packet:
+    """A datagram in the network, as hooks and rules see it.
+
+    ``receiver`` is the process that has the destination address, or ``None``.
+    """
+
+    sent_s: float
+    source: address.Address
+    destination: address.Address
+    sender: "virtual_process.Process"
+    receiver: "virtual_process.Process | None"
+    data: bytes
+
+
+PacketHook = typing.Callable[[Packet], None]
+Match = typing.Callable[[Packet], bool]
+
+
+@dataclasses.dataclass
+class Rule:
+    """What happens to the datagrams of some paths.
+
+    ``match`` selects datagrams. ``loss`` and ``duplicate`` are probabilities.
+    ``delay_s`` is added to the latency, and up to ``jitter_s`` more at
+    random, which reorders datagrams. ``remaining`` limits how many datagrams
+    the rule still applies to.
+    """
+
+    match: Match
+    loss: float = 0.0
+    duplicate: float = 0.0
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    remaining: int | None = None
+
+    def delays(self, packet: Packet, rng: random.Random) -> list[float] | None:
+        """Return an extra delay for each copy; ``None`` if not selected."""
+        if self.remaining == 0 or not self.match(packet):
+            return None
+        if self.remaining is not None:
+            self.remaining -= 1
+        if rng.random() < self.loss:
+            return []
+        copies = 2 if rng.random() < self.duplicate else 1
+        return [
+            self.delay_s + rng.random() * self.jitter_s for _ in range(copies)
+        ]
+
+
+@dataclasses.dataclass(frozen=True)
+class Partition:
+    """Traffic from one set of failure domains to another is cut."""
+
+    sources: frozenset[str]
+    destinations: frozenset[str]
+    both_ways: bool = True
+
+    def cuts(self, source: str, destination: str) -> bool:
+        """Tell whether nothing gets from one failure domain to another."""
+        forward = source in self.sources and destination in self.destinations
+        if not self.both_ways:
+            return forward
+        backward = source in self.destinations and destination in self.sources
+        return forward or backward
+
+
+class VirtualNetwork:
+    """Processes, the ports that they have bound, and the paths between.
+
+    ``latency_s`` is the one-way latency between hosts;
+    ``latency_by_pair`` overrides it for pairs of failure domains.
+    """
+
+    def __init__(self, seed: int = 0, latency_s: float = 0.001):
+        self.seed = seed
+        self.random = random.Random(f"network {seed}")
+        self.latency_s = latency_s
+        self.latency_by_pair: dict[tuple[str, str], float] = {}
+        self.process_by_name: dict[str, virtual_process.Process] = {}
+        self.port_by_address: dict[
+            address.Address, virtual_ports.BoundPort
+        ] = {}
+        self.listener_by_address: dict[address.Address, typing.Any] = {}
+        self.rules: list[Rule] = []
+        self.partitions: list[Partition] = []
+        self.on_send: list[PacketHook] = []
+        self.on_delivery: list[PacketHook] = []
+        self.links: list[typing.Any] = []
+        self.schedule = virtual_schedule.Schedule()
+        self.freezer = virtual_process.Freezer()
+        self._ephemeral = itertools.count(FIRST_EPHEMERAL_PORT)
+
+    def process(
+        self, name: str, host: str, failure_domain: str = "outside"
+    ) -> "virtual_process.Process":
+        """Return a new process on a host; the name must be unused or dead.
+
+        A process that takes the name of a dead one is its restart.
+        """
+        before = self.process_by_name.get(name)
+        if before is not None and before.alive:
+            raise errors.UnknownName("free process name", name, ["another"])
+        starts = 0 if before is None else before.starts + 1
+        made = virtual_process.Process(self, name, host, failure_domain)
+        made.starts = starts
+        made.random = random.Random(f"{name} {starts} {self.seed}")
+        self.process_by_name[name] = made
+        return made
+
+    async def run(self) -> None:
+        """Deliver until cancelled; run it in a task of its own."""
+        trio.lowlevel.add_instrument(self.freezer)
+        try:
+            await self.schedule.run()
+        finally:
+            trio.lowlevel.remove_instrument(self.freezer)
+
+    # Paths
+
+    def path_latency_s(
+        self,
+        source: "virtual_process.Process",
+        destination: "virtual_process.Process | None",
+    ) -> float:
+        """Return the one-way latency between two processes in seconds."""
+        if destination is None:
+            return self.latency_s
+        if source.host == destination.host:
+            return SAME_HOST_LATENCY_S
+        ends = (source.failure_domain, destination.failure_domain)
+        default = self.latency_by_pair.get(ends[::-1], self.latency_s)
+        return self.latency_by_pair.get(ends, default)
+
+    def is_cut(
+        self,
+        source: "virtual_process.Process",
+        destination: "virtual_process.Process | None",
+    ) -> bool:
+        """Tell whether a partition separates a path now."""
+        if destination is None or source.host == destination.host:
+            return False
+        ends = (source.failure_domain, destination.failure_domain)
+        return any(item.cuts(*ends) for item in self.partitions)
+
+    def partition(
+        self,
+        sources: collections.abc.Iterable[str],
+        destinations: collections.abc.Iterable[str],
+        both_ways: bool = True,
+    ) -> Partition:
+        """Cut failure domains apart until ``heal``.
+
+        Datagrams on a cut path are lost; control links stall.
+        """
+        made = Partition(
+            frozenset(sources), frozenset(destinations), both_ways
+        )
+        self.partitions.append(made)
+        return made
+
+    def heal(self, partition: Partition | None = None) -> None:
+        """End one partition, or all of them; stalled links go on."""
+        if partition is None:
+            self.partitions.clear()
+        elif partition in self.partitions:
+            self.partitions.remove(partition)
+        for link in list(self.links):
+            link.resume()
+
+    def add_rule(self, rule: Rule) -> Rule:
+        """Apply a rule to the datagrams sent from now on."""
+        self.rules.append(rule)
+        return rule
+
+    def remove_rule(self, rule: Rule) -> None:
+        """End a rule; unknown rules are no error."""
+        if rule in self.rules:
+            self.rules.remove(rule)
+
+    # Datagrams
+
+    def bind(
+        self, port: "virtual_ports.BoundPort", at: address.Address
+    ) -> address.Address:
+        """Give a port its address; port number 0 chooses a free one.
+
+        :raises OSError: when the address is in use.
+        """
+        if at.port == 0:
+            at = address.Address(at.host, next(self._ephemeral))
+        if at in self.port_by_address:
+            raise OSError(f"address {at} is in use")
+        self.port_by_address[at] = port
+        return at
+
+    def unbind(self, port: "virtual_ports.BoundPort") -> None:
+        """Release a port's address."""
+        if self.port_by_address.get(port.address) is port:
+            del self.port_by_address[port.address]
+
+    def send(
+        self,
+        sender: "virtual_process.Process",
+        source: address.Address,
+        destination: address.Address,
+        data: bytes,
+    ) -> None:
+        """Put a datagram on its way, or lose it as the rules say."""
+        if not sender.alive:
+            return
+        bound = self.port_by_address.get(destination)
+        receiver = None if bound is None else bound.process
+        packet = Packet(
+            anyio.current_time(), source, destination, sender, receiver, data
+        )
+        for hook in list(self.on_send):
+            hook(packet)
+        if self.is_cut(sender, receiver):
+            return
+        latency_s = self.path_latency_s(sender, receiver)
+        for extra_s in self._delays(packet):
+            due = packet.sent_s + latency_s + extra_s
+            self.schedule.at(due, functools.partial(self._deliver, packet))
+
+    def _delays(self, packet: Packet) -> list[float]:
+        delays = [0.0]
+        for rule in list(self.rules):
+            found = rule.delays(packet, self.random)
+            if found is not None:
+                delays = [
+                    before + extra for before in delays for extra in found
+                ]
+        return delays
+
+    def _deliver(self, packet: Packet) -> None:
+        bound = self.port_by_address.get(packet.destination)
+        if bound is None:
+            self._refuse(packet)
+            return
+        packet.receiver = bound.process
+        for hook in list(self.on_delivery):
+            hook(packet)
+        bound.put(packet.data, packet.source)
+
+    def _refuse(self, packet: Packet) -> None:
+        """Report to a connected port that nothing listens there."""
+        source = self.port_by_address.get(packet.source)
+        if source is not None and source.remote == packet.destination:
+            delay_s = self.path_latency_s(packet.sender, None)
+            if source.remote.host == source.address.host:
+                delay_s = SAME_HOST_LATENCY_S
+            due = anyio.current_time() + delay_s
+            self.schedule.at(due, source.refuse)
+
+
+def run(
+    main: typing.Callable[[], typing.Awaitable[typing.Any]], seed: int = 0
+):
+    """Run ``main`` under a virtual clock, the same way for the same seed.
+
+    trio shuffles the tasks that are ready at the same time; its generator is
+    seeded here.
+    """
+    # Both are private to trio, which offers no public way to make its order
+    # repeatable; Hypothesis and pytest-trio use the same two names.
+    scheduler = trio._core._run
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return anyio.run(main, backend="trio", backend_options={"clock": clock})
--- /dev/null
+++ b/src/bramleypin/standins/virtual_platform.py
@@ -0,0 +1,142 @@
+"""The configuration service in memory, with its failures."""
+
+import collections
+import dataclasses
+import enum
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal.net import environment
+
+ANSWER_TIME_S = 0.002
+# A call to a service that is down fails after this time.
+FAILURE_TIME_S = 1.0
+
+
+class Mode(enum.Enum):
+    """How the service answers."""
+
+    UP = "up"
+    DOWN = "down"
+    STALE = "stale"
+    OLDER = "older"
+
+
+@dataclasses.dataclass
+class Replica:
+    """What readers are given: the mode, and the last index they may see."""
+
+    mode: Mode = Mode.UP
+    limit: int | None = None
+
+
+class VirtualPlatform:
+    """Values with their history; written by the test as the operators do.
+
+    ``stale`` answers with the values as they were when the mode was set.
+    ``older`` answers with the values before the last ``publish``.
+    """
+
+    def __init__(self):
+        self.index = 0
+        self.history_by_key: dict[str, list[environment.PlatformValue]] = {}
+        self.calls_by_reader: collections.Counter[str] = collections.Counter()
+        self._before_last_publish = 0
+        self._shared = Replica()
+        self._replica_by_reader: dict[str, Replica] = {}
+        self._changed = anyio.Event()
+
+    def publish(self, values: dict[str, bytes]) -> int:
+        """Write values together; returns their common index."""
+        self._before_last_publish = self.index
+        self.index += 1
+        for key, value in values.items():
+            entry = environment.PlatformValue(key, self.index, value)
+            self.history_by_key.setdefault(key, []).append(entry)
+        self._notify()
+        return self.index
+
+    def set_mode(self, mode: Mode, reader: str | None = None) -> None:
+        """Change how all readers, or one of them, are answered."""
+        limit = {
+            Mode.STALE: self.index,
+            Mode.OLDER: self._before_last_publish,
+        }.get(mode)
+        made = Replica(mode, limit)
+        if reader is None:
+            self._shared = made
+        else:
+            self._replica_by_reader[reader] = made
+        self._notify()
+
+    def clear_mode(self, reader: str) -> None:
+        """Answer one reader like all others again."""
+        self._replica_by_reader.pop(reader, None)
+        self._notify()
+
+    def source(self, reader: str) -> "VirtualPlatformSource":
+        """Return the read-only client of one process."""
+        return VirtualPlatformSource(self, reader)
+
+    def find(self, key: str, reader: str) -> environment.PlatformValue | None:
+        """Return the value that a reader may see now.
+
+        :raises errors.PlatformUnavailable: when the service is down for it.
+        """
+        replica = self._replica_by_reader.get(reader, self._shared)
+        if replica.mode is Mode.DOWN:
+            raise errors.PlatformUnavailable("the service does not answer")
+        limit = self.index if replica.limit is None else replica.limit
+        visible = [
+            entry
+            for entry in self.history_by_key.get(key, ())
+            if entry.index <= limit
+        ]
+        return visible[-1] if visible else None
+
+    async def wait(self) -> None:
+        """Wait for a change of values or modes."""
+        await self._changed.wait()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+class VirtualPlatformSource:
+    """One process's client; implements ``environment.PlatformSource``."""
+
+    def __init__(self, platform: VirtualPlatform, reader: str):
+        self._platform = platform
+        self._reader = reader
+
+    async def read(self, key: str) -> environment.PlatformValue:
+        """Read a value."""
+        self._platform.calls_by_reader[self._reader] += 1
+        found = await self._find(key)
+        if found is None:
+            raise errors.PlatformKeyMissing(key)
+        await anyio.sleep(ANSWER_TIME_S)
+        return found
+
+    async def watch(
+        self, key: str, after: int, wait_s: float
+    ) -> environment.PlatformValue | None:
+        """Wait until the key's index exceeds ``after``; ``None`` if not."""
+        self._platform.calls_by_reader[self._reader] += 1
+        with anyio.move_on_after(wait_s):
+            while True:
+                found = await self._find(key)
+                if found is not None and found.index > after:
+                    await anyio.sleep(ANSWER_TIME_S)
+                    return found
+                await self._platform.wait()
+        return None
+
+    async def _find(self, key: str) -> environment.PlatformValue | None:
+        try:
+            return self._platform.find(key, self._reader)
+        except errors.PlatformUnavailable:
+            await anyio.sleep(FAILURE_TIME_S)
+            raise
--- /dev/null
+++ b/src/bramleypin/standins/virtual_ports.py
@@ -0,0 +1,134 @@
+"""Datagram ports and connected endpoint ports of the virtual network."""
+
+import collections
+import typing
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import address
+
+# A UDP socket's receive buffer holds about this many small datagrams.
+BUFFERED_DATAGRAMS = 1_024
+
+
+class BoundPort:
+    """A bound UDP port; ``remote`` is set when it is connected."""
+
+    def __init__(
+        self,
+        process: typing.Any,
+        at: address.Address,
+        remote: address.Address | None = None,
+    ):
+        self.process = process
+        self.remote = remote
+        self.closed = False
+        self._waiting: collections.deque[tuple[bytes, address.Address]] = (
+            collections.deque()
+        )
+        self._refused = False
+        self._arrived = anyio.Event()
+        self.address = process.network.bind(self, at)
+        process.ports.append(self)
+
+    def put(self, data: bytes, source: address.Address) -> None:
+        """Take a datagram from the network, or drop it when full."""
+        if self.closed or len(self._waiting) >= BUFFERED_DATAGRAMS:
+            return
+        if self.remote is not None and source != self.remote:
+            return
+        self._waiting.append((data, source))
+        self._arrived.set()
+
+    def refuse(self) -> None:
+        """Note that the remote host reported a closed port."""
+        self._refused = True
+        self._arrived.set()
+
+    def close(self) -> None:
+        """Release the address and wake the reader."""
+        self.closed = True
+        self.process.network.unbind(self)
+        self._arrived.set()
+
+    def take(self) -> tuple[bytes, address.Address] | None:
+        """Return a datagram that waits in the buffer.
+
+        :raises errors.PortClosed: when the port is closed.
+        :raises errors.EndpointRefused: once for a reported refusal.
+        """
+        if self.closed:
+            raise errors.PortClosed("the port is closed")
+        if self._refused:
+            self._refused = False
+            raise errors.EndpointRefused(f"nothing listens at {self.remote}")
+        if self._waiting:
+            return self._waiting.popleft()
+        return None
+
+    async def wait(self) -> tuple[bytes, address.Address]:
+        """Wait for a datagram; raises what ``take`` raises."""
+        await anyio.lowlevel.checkpoint()
+        while True:
+            found = self.take()
+            if found is not None:
+                return found
+            self._arrived = anyio.Event()
+            await self._arrived.wait()
+
+
+class VirtualDatagramPort:
+    """Implements ``environment.DatagramPort``."""
+
+    def __init__(self, process: typing.Any, at: address.Address):
+        self._bound = BoundPort(process, at)
+        self.address = self._bound.address
+
+    def send(self, data: bytes, to: address.Address) -> None:
+        """Send one datagram; drops it when the port is closed."""
+        if not self._bound.closed:
+            process = self._bound.process
+            process.network.send(process, self.address, to, bytes(data))
+
+    async def receive(self) -> tuple[bytes, address.Address]:
+        """Wait for a datagram and its sender."""
+        return await self._bound.wait()
+
+    def receive_nowait(self) -> tuple[bytes, address.Address] | None:
+        """Return a datagram that has arrived already, or ``None``."""
+        return self._bound.take()
+
+    async def aclose(self) -> None:
+        """Close the port."""
+        self._bound.close()
+
+
+class VirtualEndpointPort:
+    """Implements ``environment.EndpointPort``."""
+
+    def __init__(
+        self,
+        process: typing.Any,
+        at: address.Address,
+        remote: address.Address,
+    ):
+        self._bound = BoundPort(process, at, remote)
+        self.remote = remote
+
+    def send(self, data: bytes) -> None:
+        """Send one datagram to the remote address."""
+        if not self._bound.closed:
+            process = self._bound.process
+            process.network.send(
+                process, self._bound.address, self.remote, bytes(data)
+            )
+
+    async def receive(self) -> bytes:
+        """Wait for a datagram from the remote address."""
+        data, _ = await self._bound.wait()
+        return data
+
+    async def aclose(self) -> None:
+        """Close the port."""
+        self._bound.close()
--- /dev/null
+++ b/src/bramleypin/standins/virtual_process.py
@@ -0,0 +1,171 @@
+"""Processes of the virtual network: run, kill, pause and wake.
+
+A paused process is stopped as by SIGSTOP: none of its tasks takes a step,
+its timers included, while datagrams and messages wait in the buffers of its
+ports and links. Woken, it goes on with the view that it had.
+"""
+
+import contextvars
+import functools
+import random
+import typing
+
+import anyio
+import trio
+
+from bramleypin.internal import address
+from bramleypin.internal.net import environment
+from bramleypin.standins import virtual_links
+from bramleypin.standins import virtual_ports
+
+_CURRENT: contextvars.ContextVar["Process | None"] = contextvars.ContextVar(
+    "virtual process", default=None
+)
+
+Main = typing.Callable[[], typing.Awaitable[typing.Any]]
+
+
+class Freezer(trio.abc.Instrument):
+    """Keeps the tasks of paused processes from being run.
+
+    Each task inherits the context of the task that started it, and the
+    context names the process. trio has no public call to hold a task back,
+    so a scheduled task is taken out of the run queue again.
+    """
+
+    def __init__(self):
+        self._held: dict[Process, list[trio.lowlevel.Task]] = {}
+
+    def pause(self, process: "Process") -> None:
+        """Hold the tasks of a process from now on."""
+        self._held.setdefault(process, [])
+        queue = trio.lowlevel.current_root_task()._runner.runq
+        for task in list(queue):
+            if task.context.get(_CURRENT) is process:
+                queue.remove(task)
+                self._held[process].append(task)
+
+    def wake(self, process: "Process") -> None:
+        """Run the tasks that were held, and hold no more."""
+        for task in self._held.pop(process, ()):
+            task._runner.runq.append(task)
+
+    def task_scheduled(self, task: trio.lowlevel.Task) -> None:
+        """Hold a task back when its process is paused; called by trio."""
+        if not self._held:
+            return
+        held = self._held.get(task.context.get(_CURRENT))
+        if held is not None:
+            task._runner.runq.pop()
+            held.append(task)
+
+
+class Process:
+    """One process; made by ``VirtualNetwork.process``.
+
+    ``failure_domain`` decides on partitions and latencies.
+    """
+
+    def __init__(
+        self, network: typing.Any, name: str, host: str, failure_domain: str
+    ):
+        self.network = network
+        self.name = name
+        self.host = host
+        self.failure_domain = failure_domain
+        self.random = random.Random(name)
+        self.starts = 0
+        self.alive = True
+        self.paused = False
+        self.ports: list[virtual_ports.BoundPort] = []
+        self.control = virtual_links.VirtualControlNetwork(self)
+        self.failure: BaseException | None = None
+        self._scope = anyio.CancelScope()
+        self.ended = anyio.Event()
+
+    def environment(
+        self, platform: environment.PlatformSource
+    ) -> environment.Environment:
+        """Return the outside interfaces for this process."""
+        return environment.Environment(
+            open_datagram_port=self.open_datagram_port,
+            open_endpoint_port=self.open_endpoint_port,
+            control=self.control,
+            platform=platform,
+            random=self.random,
+        )
+
+    async def open_datagram_port(
+        self, at: address.Address
+    ) -> virtual_ports.VirtualDatagramPort:
+        """Bind a UDP port; any host address may be used."""
+        await anyio.lowlevel.checkpoint()
+        return virtual_ports.VirtualDatagramPort(self, at)
+
+    async def open_endpoint_port(
+        self, to: address.Address
+    ) -> virtual_ports.VirtualEndpointPort:
+        """Bind a UDP port that is connected to one remote address."""
+        await anyio.lowlevel.checkpoint()
+        at = address.Address(self.host, 0)
+        return virtual_ports.VirtualEndpointPort(self, at, to)
+
+    async def run(self, main: Main) -> None:
+        """Run the process until ``main`` returns or ``kill`` is called.
+
+        An error of ``main`` ends the process alone and is kept in
+        ``failure``.
+        """
+        token = _CURRENT.set(self)
+        try:
+            async with anyio.create_task_group() as tasks:
+                # The task group's own task belongs to the caller; the child
+                # inherits the context that names the process.
+                tasks.start_soon(self._main, main, name=self.name)
+                _CURRENT.reset(token)
+                token = None
+        finally:
+            if token is not None:
+                _CURRENT.reset(token)
+            self._release()
+
+    async def _main(self, main: Main) -> None:
+        try:
+            with self._scope:
+                await main()
+        except Exception as error:
+            if self.alive:
+                self.failure = error
+
+    def kill(self) -> None:
+        """End the process at once; nothing that it still does is seen."""
+        if not self.alive:
+            return
+        self._release()
+        self._scope.cancel()
+        self.wake()
+
+    def pause(self) -> None:
+        """Stop the process as SIGSTOP does."""
+        if self.alive and not self.paused:
+            self.paused = True
+            self.network.freezer.pause(self)
+
+    def wake(self) -> None:
+        """Let a paused process go on."""
+        if self.paused:
+            self.paused = False
+            self.network.freezer.wake(self)
+
+    def _release(self) -> None:
+        self.alive = False
+        for port in list(self.ports):
+            port.close()
+        self.ports.clear()
+        self.control.release()
+        self.ended.set()
+
+
+def spawn(tasks: typing.Any, process: Process, main: Main) -> None:
+    """Run a process in a task group."""
+    tasks.start_soon(functools.partial(process.run, main), name=process.name)
--- /dev/null
+++ b/src/bramleypin/standins/virtual_schedule.py
@@ -0,0 +1,37 @@
+"""Calls at points of the virtual time, in order."""
+
+import heapq
+import itertools
+import math
+import typing
+
+import anyio
+
+Call = typing.Callable[[], None]
+
+
+class Schedule:
+    """A queue of calls by due time; equal times keep their order."""
+
+    def __init__(self):
+        self._queue: list[tuple[float, int, Call]] = []
+        self._numbers = itertools.count()
+        self._earlier = anyio.Event()
+
+    def at(self, due_s: float, call: Call) -> None:
+        """Make a call at a time in seconds on anyio's clock."""
+        earliest = self._queue[0][0] if self._queue else math.inf
+        heapq.heappush(self._queue, (due_s, next(self._numbers), call))
+        if due_s < earliest:
+            self._earlier.set()
+
+    async def run(self) -> None:
+        """Make the calls when they are due, until cancelled."""
+        while True:
+            now = anyio.current_time()
+            while self._queue and self._queue[0][0] <= now:
+                heapq.heappop(self._queue)[2]()
+            self._earlier = anyio.Event()
+            due_s = self._queue[0][0] if self._queue else math.inf
+            with anyio.CancelScope(deadline=due_s):
+                await self._earlier.wait()
