--- a/src/bramleypin/internal/kernel.py
+++ b/src/bramleypin/internal/kernel.py
@@ -51,11 +51,16 @@
 def service(
     name: str, roles: tuple[str, ...], needs: tuple[str, ...] = ()
 ) -> typing.Callable[[type], type]:
-    """Register a service class under a name for the given roles."""
+    """Register a service class under a name for the given roles.
+
+    A name may stand for different classes in different roles, for example
+    ``frames``, which reads the data port in its own way in each role.
+    """
 
     def store(factory: type) -> type:
         entry = Registration(name, roles, needs, factory)
-        SERVICES.register(name)(entry)
+        for role in roles:
+            SERVICES.register(f"{role}/{name}")(entry)
         return factory
 
     return store
@@ -67,9 +72,9 @@
     :raises errors.UnknownName: when a service needs one that the role lacks.
     """
     entry_by_name = {
-        name: entry
-        for name, entry in SERVICES.entry_by_name.items()
-        if role in entry.roles
+        entry.name: entry
+        for key, entry in SERVICES.entry_by_name.items()
+        if key.startswith(f"{role}/")
     }
     ordered: dict[str, Registration] = {}
 
--- /dev/null
+++ b/src/bramleypin/internal/services.py
@@ -0,0 +1,43 @@
+"""Which modules hold the services of each role.
+
+Only the modules of a daemon's own role are imported, because each imported
+module takes a part of the 32 MB that a daemon may use for control.
+"""
+
+import importlib
+
+_SHARED = (
+    "bramleypin.internal.net.data_port",
+    "bramleypin.internal.membership.view_store",
+    "bramleypin.internal.membership.members",
+    "bramleypin.internal.membership.sync",
+    "bramleypin.internal.membership.lease",
+    "bramleypin.internal.membership.control_server",
+    "bramleypin.internal.observe.metrics",
+    "bramleypin.internal.observe.trace",
+    "bramleypin.internal.observe.outcomes",
+    "bramleypin.internal.observe.status",
+)
+
+MODULES_BY_ROLE: dict[str, tuple[str, ...]] = {
+    "balancer": (
+        *_SHARED,
+        "bramleypin.internal.balancer.ingress",
+        "bramleypin.internal.balancer.forwarder",
+        "bramleypin.internal.balancer.openings",
+        "bramleypin.internal.balancer.receiver",
+    ),
+    "agent": (
+        *_SHARED,
+        "bramleypin.internal.agent.admission",
+        "bramleypin.internal.agent.endpoint",
+        "bramleypin.internal.agent.flows",
+        "bramleypin.internal.agent.receiver",
+    ),
+}
+
+
+def load(role: str) -> None:
+    """Import the modules of a role, which register their services."""
+    for name in MODULES_BY_ROLE[role]:
+        importlib.import_module(name)
