--- /dev/null
+++ b/src/bramleypin/matrix/deployment.py
@@ -0,0 +1,297 @@
+"""A small deployment in the virtual network, made of real daemons.
+
+Three failure domains, each with a balancer and an endpoint of each of two
+services with its agent; a fabric, a platform, and callers outside.
+"""
+
+import dataclasses
+import functools
+import typing
+
+import anyio
+import msgspec
+
+from bramleypin.internal import address
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.model import configuration
+from bramleypin.internal.model import vms
+from bramleypin.internal import services
+from bramleypin.matrix import endpoint as endpoint_module
+from bramleypin.matrix import fabric as fabric_module
+from bramleypin.matrix import journal as journal_module
+from bramleypin.matrix import publication as publication_module
+from bramleypin import settings as settings_module
+from bramleypin.standins import virtual_network
+from bramleypin.standins import virtual_platform
+from bramleypin.standins import virtual_process
+
+DOMAINS = ("austin", "san-marcos", "waco")
+SERVICES = ("planstore", "scheduler")
+SLOTS = 5
+COLD_SLOTS = 1
+RAMP_S = 10.0
+KEY = "5c" * 32
+DATA_PORT = 7000
+CONTROL_PORT = 7001
+INGRESS_PORT = 7002
+ENDPOINT_PORT = 5683
+# The fabric stops sending to a dead balancer after this time.
+FABRIC_LAG_S = 1.0
+VMS_LAG_S = 2.0
+
+ADDRESS_BY_SERVICE = {
+    "planstore": address.Address("198.51.100.1", 5683),
+    "scheduler": address.Address("198.51.100.2", 5683),
+}
+# An address of the scheduler that is moved to planstore during each cell.
+MOVED_ADDRESS = address.Address("198.51.100.3", 5683)
+
+
+@dataclasses.dataclass
+class Daemon:
+    """A daemon: its settings, and the process that runs it now."""
+
+    settings: settings_module.Settings
+    process: typing.Any = None
+    kernel: typing.Any = None
+
+    @property
+    def name(self) -> str:
+        """The process's name in the network and the journal."""
+        return self.settings.id
+
+    @property
+    def vm(self) -> vms.Vm:
+        """The daemon's entry in the VM list."""
+        item = self.settings
+        return vms.Vm(
+            item.id,
+            item.role,
+            item.failure_domain,
+            item.addresses.data,
+            item.addresses.control,
+        )
+
+
+def _balancer_settings(domain: str, host: str) -> settings_module.Settings:
+    return settings_module.Settings(
+        role="balancer",
+        id=f"balancer-{domain}",
+        failure_domain=domain,
+        keys=(KEY,),
+        addresses=settings_module.Addresses(
+            f"{host}:{DATA_PORT}", f"{host}:{CONTROL_PORT}"
+        ),
+        ingress=settings_module.Ingress("proxied", f"{host}:{INGRESS_PORT}"),
+    )
+
+
+def _agent_settings(
+    service: str, domain: str, host: str
+) -> settings_module.Settings:
+    name = f"{service}-{domain}"
+    return settings_module.Settings(
+        role="agent",
+        id=name,
+        failure_domain=domain,
+        keys=(KEY,),
+        addresses=settings_module.Addresses(
+            f"{host}:{DATA_PORT}", f"{host}:{CONTROL_PORT}"
+        ),
+        endpoint=settings_module.Endpoint(
+            service, name, f"{host}:{ENDPOINT_PORT}"
+        ),
+    )
+
+
+class Deployment:
+    """Everything that runs in a cell but the callers."""
+
+    def __init__(
+        self,
+        network: virtual_network.VirtualNetwork,
+        journal: journal_module.Journal,
+    ):
+        self.network = network
+        self.journal = journal
+        self.platform = virtual_platform.VirtualPlatform()
+        self.daemon_by_name: dict[str, Daemon] = {}
+        self.endpoint_by_name: dict[str, endpoint_module.RecordingEndpoint] = (
+            {}
+        )
+        self.endpoint_process_by_name: dict[str, typing.Any] = {}
+        self.vms_lag_s = VMS_LAG_S
+        self.tasks: typing.Any = None
+        host = "10.9.0.1"
+        self.fabric_process = network.process("fabric", host)
+        self.fabric = fabric_module.Fabric(
+            self.fabric_process, address.Address(host, 9000)
+        )
+        self._plan()
+
+    def _plan(self) -> None:
+        for number, domain in enumerate(DOMAINS, 1):
+            made = _balancer_settings(domain, f"10.{number}.0.1")
+            self.daemon_by_name[made.id] = Daemon(made)
+            for position, service in enumerate(SERVICES, 2):
+                host = f"10.{number}.0.{position}"
+                made = _agent_settings(service, domain, host)
+                self.daemon_by_name[made.id] = Daemon(made)
+                self.endpoint_by_name[made.id] = (
+                    endpoint_module.RecordingEndpoint(
+                        made.id,
+                        service,
+                        address.Address(host, ENDPOINT_PORT),
+                        SLOTS,
+                        COLD_SLOTS,
+                        RAMP_S,
+                        self.journal,
+                    )
+                )
+        self.publication = publication_module.Publication(
+            self.platform,
+            {name: self._service(name) for name in SERVICES},
+            {name: configuration.FailureDomain() for name in DOMAINS},
+        )
+
+    def _service(self, name: str) -> configuration.Service:
+        addresses = [str(ADDRESS_BY_SERVICE[name])]
+        if name == "scheduler":
+            addresses.append(str(MOVED_ADDRESS))
+        endpoints = tuple(
+            configuration.Endpoint(
+                id=daemon.name,
+                failure_domain=daemon.settings.failure_domain,
+                data=daemon.settings.addresses.data,
+                control=daemon.settings.addresses.control,
+                slots=SLOTS,
+                cold_slots=COLD_SLOTS,
+                ramp_s=RAMP_S,
+            )
+            for daemon in self.agents()
+            if daemon.settings.endpoint.service == name
+        )
+        return configuration.Service(name, tuple(addresses), endpoints)
+
+    def agents(self) -> list[Daemon]:
+        """Return the daemons beside endpoints."""
+        return [
+            item
+            for item in self.daemon_by_name.values()
+            if item.settings.role == "agent"
+        ]
+
+    def balancers(self) -> list[Daemon]:
+        """Return the daemons on entry VMs."""
+        return [
+            item
+            for item in self.daemon_by_name.values()
+            if item.settings.role == "balancer"
+        ]
+
+    async def start(self, tasks: typing.Any) -> None:
+        """Publish the configuration and start all processes."""
+        self.tasks = tasks
+        for role in ("balancer", "agent"):
+            services.load(role)
+        self.publish()
+        self.publication.publish_vms(self._members())
+        for name in self.endpoint_by_name:
+            self.start_endpoint(name)
+        for name in self.daemon_by_name:
+            self.start_daemon(name)
+        self.fabric.service_addresses = [
+            *ADDRESS_BY_SERVICE.values(),
+            MOVED_ADDRESS,
+        ]
+        virtual_process.spawn(tasks, self.fabric_process, self.fabric.run)
+        for daemon in self.daemon_by_name.values():
+            await daemon.kernel.started.wait()
+
+    def publish(self) -> int:
+        """Publish a revision and note it."""
+        revision = self.publication.publish()
+        self.journal.published.append(
+            journal_module.Published(revision, anyio.current_time())
+        )
+        return revision
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon, or start it again after its death."""
+        daemon = self.daemon_by_name[name]
+        host = daemon.settings.addresses.data_address.host
+        domain = daemon.settings.failure_domain
+        daemon.process = self.network.process(name, host, domain)
+        env = daemon.process.environment(self.platform.source(name))
+        daemon.kernel = kernel_module.Kernel(daemon.settings, env)
+        main = functools.partial(self._run_daemon, daemon, daemon.process)
+        virtual_process.spawn(self.tasks, daemon.process, main)
+        if daemon.settings.role == "balancer":
+            self.fabric.targets[name] = address.parse(
+                daemon.settings.ingress.address
+            )
+
+    async def _run_daemon(self, daemon: Daemon, process: typing.Any) -> None:
+        try:
+            await daemon.kernel.run()
+        except Exception as error:
+            if process.alive:
+                self.journal.failures.append(
+                    f"{daemon.name} ended with {error!r} "
+                    f"at {anyio.current_time():.3f} s"
+                )
+
+    def add_balancer(self, name: str, domain: str) -> None:
+        """Start one more balancer; the VM list shows it later."""
+        number = DOMAINS.index(domain) + 1
+        made = _balancer_settings(domain, f"10.{number}.0.9")
+        made = msgspec.structs.replace(made, id=name)
+        self.daemon_by_name[name] = Daemon(made)
+        self.start_daemon(name)
+        self.tasks.start_soon(self._announce)
+
+    async def _announce(self) -> None:
+        await anyio.sleep(self.vms_lag_s)
+        self.publish_members()
+
+    def crash_endpoint(self, name: str) -> None:
+        """Kill an endpoint; the next start is cold."""
+        self.endpoint_process_by_name[name].kill()
+
+    def start_endpoint(self, name: str) -> None:
+        """Start an endpoint, or start it again after a crash."""
+        endpoint = self.endpoint_by_name[name]
+        if name in self.endpoint_process_by_name:
+            endpoint.turn_cold()
+        process = self.network.process(
+            f"{name} endpoint",
+            endpoint.address.host,
+            self.daemon_by_name[name].settings.failure_domain,
+        )
+        self.endpoint_process_by_name[name] = process
+        main = functools.partial(endpoint.run, process)
+        virtual_process.spawn(self.tasks, process, main)
+
+    def kill_daemon(self, name: str) -> None:
+        """Kill a daemon; fabric and VM list learn it later."""
+        daemon = self.daemon_by_name[name]
+        daemon.process.kill()
+        self.tasks.start_soon(self._forget, daemon, daemon.process)
+
+    async def _forget(self, daemon: Daemon, process: typing.Any) -> None:
+        await anyio.sleep(FABRIC_LAG_S)
+        if daemon.process is process:
+            self.fabric.targets.pop(daemon.name, None)
+        await anyio.sleep(max(0.0, self.vms_lag_s - FABRIC_LAG_S))
+        self.publish_members()
+
+    def publish_members(self) -> None:
+        """Write the list of the VMs that live now."""
+        self.publication.publish_vms(self._members())
+
+    def _members(self) -> list[vms.Vm]:
+        return [
+            item.vm
+            for item in self.daemon_by_name.values()
+            if item.process is None or item.process.alive
+        ]
--- /dev/null
+++ b/src/bramleypin/matrix/endpoint.py
@@ -0,0 +1,242 @@
+"""An endpoint that keeps a record of what it runs.
+
+It speaks CoAP over UDP as RFC 7252 says: a repeated message id is answered
+as before and does not run again, and long requests are answered separately.
+Paths are ``/<service>/<kind>/<call id>/<run time in milliseconds>``.
+"""
+
+import dataclasses
+import hashlib
+import typing
+
+import anyio
+import cbor2
+
+from bramleypin.internal import address
+from bramleypin.internal.wire import coap
+from bramleypin.matrix import journal as journal_module
+
+BLOCK_BYTES = 64
+BLOCK_EXPONENT = 2
+BLOCKS = 6
+WELL_KNOWN = (".well-known", "bramleypin")
+# Longer requests are acknowledged first and answered separately.
+SEPARATE_AFTER_S = 0.5
+RETRANSMIT_AFTER_S = (2.0, 4.0, 8.0, 16.0)
+
+
+def document(call_id: str, endpoint: str) -> bytes:
+    """Return a download; its bytes differ from endpoint to endpoint."""
+    lines = []
+    for block in range(BLOCKS):
+        digest = hashlib.sha256(f"{call_id} {endpoint} {block}".encode())
+        lines.append(digest.hexdigest()[:BLOCK_BYTES].encode())
+    return b"".join(lines)
+
+
+def answer_of(call_id: str, kind: str) -> bytes:
+    """Return the answer to a request that is no download."""
+    return f"{kind} {call_id} done".encode()
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """How the endpoint departs from a healthy one."""
+
+    shed: bool = False
+    lie: bool = False
+    speed: float = 1.0
+
+
+class RecordingEndpoint:
+    """One back end; ``start`` it again after a crash for a new instance.
+
+    ``on_event(event, run)`` is called at "handed", "running", "finished" and
+    "answering".
+    """
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        service: str,
+        at: address.Address,
+        slots: int,
+        cold_slots: int,
+        ramp_s: float,
+        journal: journal_module.Journal,
+    ):
+        self.id = endpoint_id
+        self.service = service
+        self.address = at
+        self.slots = slots
+        self.cold_slots = cold_slots
+        self.ramp_s = ramp_s
+        self.journal = journal
+        self.behaviour = Behaviour()
+        self.instance = 0
+        self.running = 0
+        self.cold_since_s = float("-inf")
+        self.on_event: list[typing.Callable[[str, typing.Any], None]] = []
+        self._port: typing.Any = None
+        self._answer_by_mid: dict[typing.Any, bytes | None] = {}
+        self._acknowledged: dict[typing.Any, anyio.Event] = {}
+        self._mid = 0
+
+    def bearable(self) -> int:
+        """Return how many requests the endpoint can run at once now."""
+        age_s = anyio.current_time() - self.cold_since_s
+        if age_s >= self.ramp_s:
+            return self.slots
+        grown = (self.slots - self.cold_slots) * age_s / self.ramp_s
+        return self.cold_slots + int(grown)
+
+    def turn_cold(self) -> None:
+        """Become cold again without telling anybody."""
+        self.cold_since_s = anyio.current_time()
+        self.instance += 1
+
+    async def run(self, process: typing.Any) -> None:
+        """Serve until cancelled, as a process of the virtual network."""
+        self.instance += 1
+        self.running = 0
+        self._answer_by_mid = {}
+        self._port = await process.open_datagram_port(self.address)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                data, source = await self._port.receive()
+                self._receive(tasks, coap.decode(data), source)
+
+    def _receive(
+        self, tasks: typing.Any, message: coap.Message, source: address.Address
+    ) -> None:
+        key = (source, message.mid)
+        if not coap.is_request(int(message.code)):
+            if key in self._acknowledged:
+                self._acknowledged.pop(key).set()
+            return
+        if key in self._answer_by_mid:
+            answer = self._answer_by_mid[key]
+            if answer is not None:
+                self._port.send(answer, source)
+            return
+        self._answer_by_mid[key] = None
+        path = tuple(message.opt.uri_path)
+        if coap.option(message, coap.CANCEL) is not None:
+            # What has been received runs at once, so nothing is cancelled.
+            self._reply(message, source, coap.CHANGED, b"running")
+        elif path == WELL_KNOWN:
+            self._reply(message, source, coap.CONTENT, self._report())
+        elif self.behaviour.shed:
+            self._reply(message, source, coap.SERVICE_UNAVAILABLE, b"shed")
+        else:
+            tasks.start_soon(self._serve, message, source, path)
+
+    def _report(self) -> bytes:
+        cold = self.bearable() < self.slots
+        report = {
+            "instance": str(self.instance),
+            "running": self.running,
+            "state": "cold" if cold else "ready",
+        }
+        if self.behaviour.lie:
+            report = {"instance": "1", "running": 0, "state": "ready"}
+        return cbor2.dumps(report)
+
+    async def _serve(
+        self, message: coap.Message, source: address.Address, path: tuple
+    ) -> None:
+        named, kind, call_id, milliseconds = path
+        duration_s = int(milliseconds) / 1000 / self.behaviour.speed
+        block2 = message.opt.block2
+        self.running += 1
+        run = journal_module.Run(
+            call_id=call_id,
+            endpoint=self.id,
+            instance=self.instance,
+            service=self.service,
+            named_service=named,
+            method=coap.method_name(int(message.code)),
+            started_s=anyio.current_time(),
+            running=self.running,
+            bearable=self.bearable(),
+            block=0 if block2 is None else block2.block_number,
+        )
+        self.journal.runs.append(run)
+        separate = duration_s > SEPARATE_AFTER_S
+        try:
+            self._note("handed", run)
+            if separate:
+                empty = coap.message(coap.ACK, 0, message.mid)
+                self._answer_by_mid[(source, message.mid)] = empty.encode()
+                self._port.send(empty.encode(), source)
+            await anyio.sleep(duration_s / 2)
+            self._note("running", run)
+            await anyio.sleep(duration_s / 2)
+            run.ended_s = anyio.current_time()
+        finally:
+            self.running -= 1
+        self._note("finished", run)
+        await anyio.sleep(0.001)
+        answer = self._answer(message, kind, call_id, run)
+        if separate:
+            await self._answer_separately(answer, source)
+        else:
+            answer.mtype = coap.ACK
+            answer.mid = message.mid
+            self._answer_by_mid[(source, message.mid)] = answer.encode()
+            self._port.send(answer.encode(), source)
+
+    def _answer(
+        self,
+        message: coap.Message,
+        kind: str,
+        call_id: str,
+        run: journal_module.Run,
+    ) -> coap.Message:
+        if kind != "plan":
+            code = coap.CONTENT if run.method == "GET" else coap.CHANGED
+            body = answer_of(call_id, kind)
+            return coap.message(coap.CON, code, 0, message.token, body)
+        whole = document(call_id, self.id)
+        start = run.block * BLOCK_BYTES
+        answer = coap.message(
+            coap.CON,
+            coap.CONTENT,
+            0,
+            message.token,
+            whole[start : start + BLOCK_BYTES],
+        )
+        more = start + BLOCK_BYTES < len(whole)
+        answer.opt.block2 = (run.block, more, BLOCK_EXPONENT)
+        return answer
+
+    async def _answer_separately(
+        self, answer: coap.Message, source: address.Address
+    ) -> None:
+        self._mid = (self._mid + 1) % 0x10000
+        answer.mid = self._mid
+        key = (source, answer.mid)
+        acknowledged = anyio.Event()
+        self._acknowledged[key] = acknowledged
+        for wait_s in RETRANSMIT_AFTER_S:
+            self._port.send(answer.encode(), source)
+            with anyio.move_on_after(wait_s):
+                await acknowledged.wait()
+                return
+
+    def _reply(
+        self,
+        message: coap.Message,
+        source: address.Address,
+        code: int,
+        payload: bytes,
+    ) -> None:
+        answer = coap.message(
+            coap.ACK, code, message.mid, message.token, payload
+        )
+        self._answer_by_mid[(source, message.mid)] = answer.encode()
+        self._port.send(answer.encode(), source)
+
+    def _note(self, event: str, run: journal_module.Run) -> None:
+        for listener in list(self.on_event):
+            listener(event, run)
--- /dev/null
+++ b/src/bramleypin/matrix/proof.py
@@ -0,0 +1,40 @@
+"""Runs the broken variants and tells which cells caught them."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from bramleypin.matrix import cell
+from bramleypin.matrix import pool
+from bramleypin.matrix import registries
+from bramleypin.matrix import variants
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """Which cells of a variant failed, out of those that were run."""
+
+    variant: str
+    breaks: str
+    caught_by: tuple[str, ...]
+    cells: tuple[str, ...]
+
+    def as_dict(self) -> dict[str, typing.Any]:
+        """Return the outcome as plain values."""
+        return dataclasses.asdict(self)
+
+    def as_line(self) -> str:
+        """Return the outcome as a line for a terminal."""
+        if self.caught_by:
+            return f"{self.variant}: caught by {', '.join(self.caught_by)}"
+        return f"{self.variant}: NOT caught by {', '.join(self.cells)}"
+
+
+def run_all(workers: int) -> collections.abc.Iterator[Outcome]:
+    """Run the cells of every variant."""
+    for name in variants.names():
+        entry = registries.VARIANTS.get(name)
+        cells = [cell.parse(text) for text in entry.cells]
+        results = list(pool.run(cells, workers, name))
+        caught = tuple(item.cell for item in results if item.violations)
+        yield Outcome(name, entry.breaks, caught, entry.cells)
--- a/src/bramleypin/standins/virtual_platform.py
+++ b/src/bramleypin/standins/virtual_platform.py
@@ -42,10 +42,12 @@
         self.index = 0
         self.history_by_key: dict[str, list[environment.PlatformValue]] = {}
         self.calls_by_reader: collections.Counter[str] = collections.Counter()
+        self.readers_by_index: dict[int, set[str]] = {}
         self._before_last_publish = 0
         self._shared = Replica()
         self._replica_by_reader: dict[str, Replica] = {}
         self._changed = anyio.Event()
+        self._read = anyio.Event()
 
     def publish(self, values: dict[str, bytes]) -> int:
         """Write values together; returns their common index."""
@@ -93,12 +95,22 @@
             for entry in self.history_by_key.get(key, ())
             if entry.index <= limit
         ]
-        return visible[-1] if visible else None
+        if not visible:
+            return None
+        seen = self.readers_by_index.setdefault(visible[-1].index, set())
+        seen.add(reader)
+        self._read.set()
+        self._read = anyio.Event()
+        return visible[-1]
 
     async def wait(self) -> None:
         """Wait for a change of values or modes."""
         await self._changed.wait()
 
+    async def wait_for_reader(self) -> None:
+        """Wait until anybody is given a value."""
+        await self._read.wait()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
