--- a/src/bramleypin/matrix/deployment.py
+++ b/src/bramleypin/matrix/deployment.py
@@ -11,6 +11,7 @@
 import anyio
 import msgspec
 
+from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.model import configuration
@@ -38,6 +39,7 @@
 # The fabric stops sending to a dead balancer after this time.
 FABRIC_LAG_S = 1.0
 VMS_LAG_S = 2.0
+START_TIMEOUT_S = 30.0
 
 ADDRESS_BY_SERVICE = {
     "planstore": address.Address("198.51.100.1", 5683),
@@ -205,8 +207,16 @@
             MOVED_ADDRESS,
         ]
         virtual_process.spawn(tasks, self.fabric_process, self.fabric.run)
-        for daemon in self.daemon_by_name.values():
-            await daemon.kernel.started.wait()
+        await self._wait_for_start()
+
+    async def _wait_for_start(self) -> None:
+        with anyio.move_on_after(START_TIMEOUT_S):
+            for daemon in self.daemon_by_name.values():
+                await daemon.kernel.started.wait()
+            return
+        raise errors.ServiceFailed(
+            "a daemon", TimeoutError("; ".join(self.journal.failures))
+        )
 
     def publish(self) -> int:
         """Publish a revision and note it."""
--- a/src/bramleypin/matrix/endpoint.py
+++ b/src/bramleypin/matrix/endpoint.py
@@ -16,8 +16,8 @@
 from bramleypin.internal.wire import coap
 from bramleypin.matrix import journal as journal_module
 
-BLOCK_BYTES = 64
-BLOCK_EXPONENT = 2
+BLOCK_BYTES = 1024
+BLOCK_EXPONENT = 6
 BLOCKS = 6
 WELL_KNOWN = (".well-known", "bramleypin")
 # Longer requests are acknowledged first and answered separately.
@@ -30,7 +30,8 @@
     lines = []
     for block in range(BLOCKS):
         digest = hashlib.sha256(f"{call_id} {endpoint} {block}".encode())
-        lines.append(digest.hexdigest()[:BLOCK_BYTES].encode())
+        text = digest.hexdigest().encode()
+        lines.append(text * (BLOCK_BYTES // len(text)))
     return b"".join(lines)
 
 
@@ -207,6 +208,7 @@
             whole[start : start + BLOCK_BYTES],
         )
         more = start + BLOCK_BYTES < len(whole)
+        answer.opt.etag = hashlib.sha256(whole).digest()[:4]
         answer.opt.block2 = (run.block, more, BLOCK_EXPONENT)
         return answer
 
--- a/src/bramleypin/matrix/workload.py
+++ b/src/bramleypin/matrix/workload.py
@@ -31,7 +31,6 @@
 LEAVING = "scheduler-waco"
 # Requests to the address that moves give up well before it does.
 MOVED_DEADLINE_S = 2.0
-DEADLINE_S = 40.0
 
 
 class Workload:
@@ -119,9 +118,7 @@
 
     async def _call_moved(self, service: str, at: address.Address) -> None:
         flow = await self.mover.open_flow(service, at)
-        await flow.call(
-            "GET", "moved", 10, deadline_s=MOVED_DEADLINE_S, must_work=False
-        )
+        await flow.call("GET", "moved", 10, deadline_s=MOVED_DEADLINE_S)
         await flow.close()
         await anyio.sleep(0.15)
 
