--- a/src/bramleypin/internal/membership/roster.py
+++ b/src/bramleypin/internal/membership/roster.py
@@ -22,7 +22,10 @@
     """Return the members in the order that a salt gives."""
     return sorted(
         members,
-        key=lambda vm: (xxhash.xxh64_intdigest(vm.id, seed=salt), vm.id),
+        key=lambda vm: (
+            xxhash.xxh64_intdigest(vm.id.encode(), seed=salt),
+            vm.id,
+        ),
     )
 
 
