--- a/src/bramleypin/internal/kernel.py
+++ b/src/bramleypin/internal/kernel.py
@@ -66,9 +66,13 @@
     return store
 
 
-def start_order(role: str) -> list[Registration]:
+def start_order(
+    role: str, wanted: tuple[str, ...] | None = None
+) -> list[Registration]:
     """Return a role's services, dependencies before their dependants.
 
+    ``wanted`` limits them to some names and what these need.
+
     :raises errors.UnknownName: when a service needs one that the role lacks.
     """
     entry_by_name = {
@@ -88,7 +92,7 @@
             visit(needed)
         ordered[name] = entry_by_name[name]
 
-    for name in sorted(entry_by_name):
+    for name in sorted(entry_by_name if wanted is None else wanted):
         visit(name)
     return list(ordered.values())
 
@@ -97,15 +101,18 @@
     """Runs the services of one daemon.
 
     ``run`` returns after ``shutdown`` (graceful) or raises the failure of a
-    service; cancelling it stops everything at once, like a crash.
+    service; cancelling it stops everything at once, like a crash. ``wanted``
+    limits the services to some names and what these need.
     """
 
     def __init__(
         self,
         settings: settings_module.Settings,
         env: environment.Environment,
+        wanted: tuple[str, ...] | None = None,
     ):
         self.settings = settings
+        self.wanted = wanted
         self.environment = env
         self.service_by_name: dict[str, Service] = {}
         self.started = anyio.Event()
@@ -131,7 +138,7 @@
 
         :raises errors.ServiceFailed: naming the service and the cause.
         """
-        order = start_order(self.settings.role)
+        order = start_order(self.settings.role, self.wanted)
         try:
             async with anyio.create_task_group() as tasks:
                 for entry in order:
