--- a/src/bramleypin/internal/membership/lease.py
+++ b/src/bramleypin/internal/membership/lease.py
@@ -66,10 +66,13 @@
     def confirm(self, sent_at: float, revision: int) -> bool:
         """Count an answer to a request that was sent at a time.
 
-        Returns ``False`` when the answer names a newer revision.
+        Returns ``False`` when the answer names a newer revision. A process
+        that has no view yet (revision 0) confirms nothing.
         """
         if revision > self._store.view.revision:
             return False
+        if revision == 0:
+            return True
         self._confirmed_at = max(self._confirmed_at, sent_at)
         return True
 
--- a/src/bramleypin/internal/membership/platform_reader.py
+++ b/src/bramleypin/internal/membership/platform_reader.py
@@ -161,7 +161,10 @@
         except errors.InvalidConfiguration as error:
             self._sync.report_invalid(error, "platform")
             return
-        self._lease.confirm(sent_at, manifest.revision)
+        # A replica may be stale without knowing it, so that the platform
+        # confirms the view only when no other process can be asked.
+        if not self._members.peers() or self._sync.is_orphan():
+            self._lease.confirm(sent_at, manifest.revision)
 
     async def _read_shards(
         self, manifest: configuration.Manifest
--- a/src/bramleypin/internal/membership/sync.py
+++ b/src/bramleypin/internal/membership/sync.py
@@ -26,6 +26,8 @@
 RECONNECT_MAX_S = 5.0
 # A link that lived this long resets the delay before the next attempt.
 STABLE_S = 5.0
+# Two reads in this time stay within the 0.2 calls a second of a process.
+ASK_PLATFORM_INTERVAL_S = 10.0
 FETCH_TIMEOUT_S = 2.0
 FETCH_INTERVAL_S = 0.1
 
@@ -53,7 +55,8 @@
         self.rejected_by_reason: dict[str, int] = {}
         self.conflicts = 0
         self._dialler_by_id: dict[str, _Dialler] = {}
-        self._helpers = 0
+        self._ask_platform_at = 0.0
+        self._linked_at = 0.0
         self._tasks: anyio.abc.TaskGroup
         self._reported: dict[address.Address, int] = {}
         self._report = anyio.Event()
@@ -66,6 +69,7 @@
         self._members = self.kernel.get("members")
         self._metrics = self.kernel.get("metrics")
         self._lease = self.kernel.get("lease")
+        self._linked_at = anyio.current_time()
         self._reader = platform_reader.PlatformReader(self.kernel, self)
         self._store.listeners.append(self._on_view)
         self._members.listeners.append(self._on_members)
@@ -161,6 +165,7 @@
             await link.run()
         finally:
             self.links.discard(link)
+            self._linked_at = anyio.current_time()
             self._metrics.gauge(names.LINKS, len(self.links))
             with anyio.CancelScope(shield=True):
                 await link.aclose()
@@ -199,6 +204,7 @@
     def _on_members(self) -> None:
         self._members_known.set()
         self._members_changed.set()
+        self._members_changed = anyio.Event()
         for link in self.links:
             link.wake()
 
@@ -218,19 +224,17 @@
             except errors.PlatformUnavailable:
                 pause = self._reader.retry_s()
             await anyio.sleep(pause)
-            while self._members_known.is_set() and not self._reads_members():
-                self._members_changed = anyio.Event()
-                await self._members_changed.wait()
+            if self._members_known.is_set():
+                await self._wait_until_reader()
 
-    def _reads_members(self) -> bool:
-        return self._members.place.is_reader
+    async def _wait_until_reader(self) -> None:
+        while not self._members.place.is_reader:
+            await self._members_changed.wait()
 
     async def _read_manifest(self) -> None:
         await self._members_known.wait()
         while True:
-            if not self._members.place.is_reader:
-                await anyio.sleep(CHECK_INTERVAL_S)
-                continue
+            await self._wait_until_reader()
             try:
                 await self._reader.watch_manifest()
             except errors.PlatformKeyMissing:
@@ -252,7 +256,7 @@
                     dialler = _Dialler(vm, anyio.CancelScope())
                     self._dialler_by_id[vm_id] = dialler
                     self._tasks.start_soon(self._dial, dialler)
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await self._members_changed.wait()
 
     async def _dial(self, dialler: _Dialler) -> None:
         delay = RECONNECT_MIN_S
@@ -274,6 +278,11 @@
     def _has_upstream(self) -> bool:
         return any(link.outgoing for link in self.links)
 
+    def is_orphan(self) -> bool:
+        """Tell whether no peer has been reachable for a while."""
+        orphan_s = anyio.current_time() - self._linked_at
+        return not self.links and orphan_s >= ORPHAN_S
+
     async def _fallback(self) -> None:
         await self._members_known.wait()
         orphan_since = anyio.current_time()
@@ -293,10 +302,8 @@
         async with anyio.create_task_group() as tasks:
             for vm in candidates:
                 tasks.start_soon(self._try_helper, vm)
-        if self._has_upstream():
-            return
-        await anyio.sleep(source.uniform(0.0, 1.0))
-        await self._ask_platform()
+        if not self._has_upstream():
+            await self._ask_platform()
 
     async def _try_helper(self, vm: vms.Vm) -> None:
         try:
@@ -328,24 +335,28 @@
                 scope.cancel()
 
     async def _ask_platform(self) -> None:
-        if self._members.place.is_reader:
+        """Read both documents, at most once in about 10 s."""
+        now = anyio.current_time()
+        if now < self._ask_platform_at:
             return
+        source = self.kernel.environment.random
+        pause = ASK_PLATFORM_INTERVAL_S * source.uniform(1.0, 1.5)
+        self._ask_platform_at = now + pause
+        await anyio.sleep(source.uniform(0.0, 1.0))
         try:
             await self._reader.read_members()
             await self._reader.read_manifest()
-        except errors.PlatformKeyMissing:
-            await anyio.sleep(self._reader.retry_s())
-        except errors.PlatformUnavailable:
-            await anyio.sleep(self._reader.retry_s())
+        except (errors.PlatformKeyMissing, errors.PlatformUnavailable):
+            return
 
     async def _fetch_reported(self) -> None:
         while True:
             await self._report.wait()
             self._report = anyio.Event()
             reported, self._reported = self._reported, {}
-            for control, revision in reported.items():
-                if revision > self._store.view.revision:
-                    await self._fetch(control, revision)
+            async with anyio.create_task_group() as tasks:
+                for control, revision in reported.items():
+                    tasks.start_soon(self._fetch, control, revision)
             await anyio.sleep(FETCH_INTERVAL_S)
 
     async def _fetch(self, control: address.Address, revision: int) -> None:
--- a/src/bramleypin/internal/net/control.py
+++ b/src/bramleypin/internal/net/control.py
@@ -14,7 +14,7 @@
 OPEN_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 0.5
 # Messages that may wait in a link before the sender is held back.
-QUEUED_MESSAGES = 4
+QUEUED_MESSAGES = 1
 
 # Compression would keep a window of memory for each link, and the proxy of
 # the process's environment variables has no place between two VMs. The
