--- a/src/bramleypin/internal/membership/view_store.py
+++ b/src/bramleypin/internal/membership/view_store.py
@@ -76,8 +76,10 @@
         """Return what changed after a revision.
 
         The services are as they are now, so the result also suits a
-        receiver that has moved on from ``since`` in the meantime. ``None``
-        means that the log does not reach back to ``since``.
+        receiver that has moved on from ``since`` in the meantime. A receiver
+        at a revision that this process skipped may lack a change; the
+        digests show that, and it asks for whole shards. ``None`` means that
+        the log does not reach back to ``since``.
         """
         later = [item for item in self._changes if item.revision > since]
         if not later or later[0].base > since:
--- a/src/bramleypin/standins/fleet.py
+++ b/src/bramleypin/standins/fleet.py
@@ -10,6 +10,7 @@
 import anyio
 import anyio.abc
 
+from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.membership import control_server  # noqa: F401
 from bramleypin.internal.membership import lease  # noqa: F401
@@ -220,3 +221,47 @@
                 await member.get("view").wait_for_change(revision - 1)
             return anyio.current_time() - begun
         return None
+
+    def check_processes(self) -> None:
+        """Raise the failure of the first process that ended with one."""
+        for member in self.member_by_id.values():
+            if member.process.failure is not None:
+                raise errors.ServiceFailed(
+                    member.vm.id, member.process.failure
+                )
+
+
+def run(
+    scenario: typing.Callable[[Fleet], typing.Awaitable[typing.Any]],
+    count: int,
+    failure_domains: tuple[str, ...] = ("a", "b", "c"),
+    services: int = 4,
+    seed: int = 0,
+    settle_s: float = 3.0,
+    latency_s: float = 0.001,
+) -> typing.Any:
+    """Run a scenario with a fleet that has the first revision.
+
+    The first process failure is raised when the scenario ends.
+    """
+
+    async def main() -> typing.Any:
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(
+                tasks,
+                make_vms(count, failure_domains),
+                failure_domains,
+                services,
+                seed,
+                latency_s,
+            )
+            fleet.publish_vms()
+            fleet.publish()
+            fleet.start_all()
+            await anyio.sleep(settle_s)
+            result = await scenario(fleet)
+            tasks.cancel_scope.cancel()
+        fleet.check_processes()
+        return result
+
+    return virtual_network.run(main, seed)
--- a/src/bramleypin/standins/platform.py
+++ b/src/bramleypin/standins/platform.py
@@ -306,3 +306,29 @@
             return event
         else:
             raise h11.RemoteProtocolError("expected a request")
+
+
+class ReaderSource:
+    """One process's path to the platform, which can be cut."""
+
+    def __init__(self, platform: environment.PlatformSource):
+        self.platform = platform
+        self.cut = False
+
+    async def read(self, key: str) -> environment.PlatformValue:
+        """Read a value, unless the path is cut."""
+        self._check()
+        return await self.platform.read(key)
+
+    async def watch(
+        self, key: str, after: int, wait_s: float
+    ) -> environment.PlatformValue | None:
+        """Watch a key; what arrives over a cut path is lost."""
+        self._check()
+        value = await self.platform.watch(key, after, wait_s)
+        self._check()
+        return value
+
+    def _check(self) -> None:
+        if self.cut:
+            raise errors.PlatformUnavailable("the path is cut")
--- /dev/null
+++ b/tests/failures/test_dissemination.py
@@ -0,0 +1,266 @@
+"""The configuration reaches everyone while parts of the fleet fail."""
+
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin.internal.membership import roster
+from bramleypin.standins import fleet as fleet_module
+from bramleypin.standins import platform
+
+BOUND_S = 5.0
+OLD_KEY = "0a" * 32
+NEW_KEY = "0b" * 32
+
+
+def readers(fleet, domain):
+    """Return the ids of a failure domain's readers, in the first order."""
+    group = [
+        vm for vm in fleet.vm_by_id.values() if vm.failure_domain == domain
+    ]
+    return [vm.id for vm in roster.order(group, 0)][:3]
+
+
+def parents(fleet):
+    """Return the ids of the processes that have most children."""
+    children = {}
+    for member in fleet.live():
+        for parent in member.get("members").place.upstream:
+            children[parent] = children.get(parent, 0) + 1
+    return sorted(children, key=children.get, reverse=True)
+
+
+async def nobody(fleet):
+    """Leave all processes running."""
+
+
+async def first_reader_of_each_domain(fleet):
+    for domain in fleet.domains:
+        fleet.member_by_id[readers(fleet, domain)[0]].process.kill()
+
+
+async def all_readers_of_a_domain(fleet):
+    for vm_id in readers(fleet, "a"):
+        fleet.member_by_id[vm_id].process.kill()
+
+
+async def the_two_busiest_parents(fleet):
+    for vm_id in parents(fleet)[:2]:
+        fleet.member_by_id[vm_id].process.kill()
+
+
+async def a_third_of_the_fleet(fleet):
+    for vm_id in list(fleet.vm_by_id)[::3]:
+        fleet.member_by_id[vm_id].process.kill()
+
+
+def assert_monotonic(case, fleet):
+    """Fail when the revision of any process has ever fallen."""
+    for member in fleet.member_by_id.values():
+        numbers = [revision for _, revision in member.revisions]
+        case.assertEqual(sorted(set(numbers)), numbers, member.vm.id)
+
+
+class TestDissemination(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (victims.__name__, victims, count)
+            for victims, count in (
+                (nobody, 12),
+                (nobody, 90),
+                (first_reader_of_each_domain, 60),
+                (all_readers_of_a_domain, 60),
+                (the_two_busiest_parents, 90),
+                (a_third_of_the_fleet, 60),
+            )
+        ]
+    )
+    def test_a_change_reaches_all_that_live(self, _, victims, count):
+        """Guards against a failed parent or reader that cuts others off."""
+
+        async def scenario(fleet):
+            await victims(fleet)
+            for _ in range(3):
+                revision = fleet.publish()
+                took_s = await fleet.wait_for(revision, 30.0)
+                self.assertIsNotNone(took_s)
+                self.assertLessEqual(took_s, BOUND_S)
+            assert_monotonic(self, fleet)
+
+        fleet_module.run(scenario, count)
+
+    def test_an_outage_of_the_platform_takes_nothing_back(self):
+        """Guards against processes that stop when nothing can be read."""
+
+        async def scenario(fleet):
+            fleet.platform.set_down(True)
+            revision = fleet.publish()
+            for _ in range(12):
+                await anyio.sleep(5.0)
+                for member in fleet.live():
+                    self.assertEqual(revision - 1, member.revision)
+                    self.assertTrue(member.get("lease").is_valid())
+            fleet.platform.set_down(False)
+            took_s = await fleet.wait_for(revision, 30.0)
+            self.assertIsNotNone(took_s)
+            self.assertLessEqual(took_s, BOUND_S)
+
+        fleet_module.run(scenario, 30)
+
+    @parameterized.parameterized.expand([("running", False), ("fresh", True)])
+    def test_a_stale_replica_takes_nobody_back(self, _, fresh):
+        """Guards against an old revision that replaces a newer one."""
+
+        async def scenario(fleet):
+            stale = fleet.platform.freeze_replica()
+            victim = readers(fleet, "a")[0]
+            fleet.member_by_id[victim].process.kill()
+            await anyio.sleep(1.0)
+            if not fresh:
+                fleet.start(victim, stale)
+                await anyio.sleep(2.0)
+            revision = fleet.publish()
+            await fleet.wait_for(revision, BOUND_S)
+            if fresh:
+                fleet.start(victim, stale)
+            took_s = await fleet.wait_for(revision, 30.0)
+            self.assertIsNotNone(took_s)
+            self.assertLessEqual(took_s, BOUND_S)
+            await anyio.sleep(60.0)
+            for member in fleet.live():
+                self.assertEqual(revision, member.revision)
+            assert_monotonic(self, fleet)
+
+        fleet_module.run(scenario, 12)
+
+    def test_a_partitioned_domain_catches_up_after_the_partition(self):
+        """Guards against a failure domain that stays on an old revision."""
+
+        async def scenario(fleet):
+            sources = []
+            for member in list(fleet.live()):
+                if member.vm.failure_domain == "c":
+                    source = platform.ReaderSource(fleet.platform)
+                    sources.append(source)
+                    member.process.kill()
+                    await anyio.sleep(0.01)
+                    fleet.start(member.vm.id, source)
+            await anyio.sleep(5.0)
+            for source in sources:
+                source.cut = True
+            cut = fleet.network.partition(("c",), ("a", "b"))
+            await anyio.sleep(1.0)
+            revision = 0
+            for _ in range(70):
+                revision = fleet.publish()
+                await anyio.sleep(5.0)
+            for member in fleet.live():
+                behind = member.vm.failure_domain == "c"
+                self.assertEqual(member.revision < revision, behind)
+                self.assertTrue(member.get("lease").is_valid())
+            fleet.network.heal(cut)
+            # The platform stays out of reach of domain c.
+            took_s = await fleet.wait_for(revision, 30.0)
+            self.assertIsNotNone(took_s)
+            self.assertLessEqual(took_s, BOUND_S)
+            assert_monotonic(self, fleet)
+
+        fleet_module.run(scenario, 24)
+
+    def test_keys_are_rotated_without_losing_a_link(self):
+        """Guards against processes of two key sets that refuse each other."""
+
+        async def scenario(fleet):
+            sets = ((OLD_KEY, NEW_KEY), (NEW_KEY, OLD_KEY), (NEW_KEY,))
+            for vm_id in fleet.vm_by_id:
+                fleet.member_by_id[vm_id].process.kill()
+            await anyio.sleep(0.1)
+            for vm_id in fleet.vm_by_id:
+                fleet.start(vm_id, keys=(OLD_KEY,))
+            await anyio.sleep(5.0)
+            for keys in sets:
+                for vm_id in fleet.vm_by_id:
+                    fleet.member_by_id[vm_id].process.kill()
+                    await anyio.sleep(0.1)
+                    fleet.start(vm_id, keys=keys)
+                    await anyio.sleep(1.0)
+                    revision = fleet.publish()
+                    took_s = await fleet.wait_for(revision, 10.0)
+                    self.assertIsNotNone(took_s)
+                    self.assertLessEqual(took_s, BOUND_S)
+            for member in fleet.live():
+                sync = member.get("sync")
+                self.assertEqual({}, sync.rejected_by_reason)
+                self.assertTrue(sync.links)
+
+        fleet_module.run(scenario, 8)
+
+    def test_one_revision_with_two_contents_is_kept_and_reported(self):
+        """Guards against processes that swap contents under one number."""
+
+        async def scenario(fleet):
+            other = platform.MemoryPlatform()
+            publisher = platform.Publisher(other)
+            services = list(fleet.services.values())[1:]
+            revision = fleet.publish()
+            await fleet.wait_for(revision, BOUND_S)
+            publisher.publish(revision, services, fleet.domains)
+            publisher.publish_vms(
+                fleet.vms_version, list(fleet.vm_by_id.values())
+            )
+            victim = next(iter(fleet.vm_by_id))
+            fleet.member_by_id[victim].process.kill()
+            await anyio.sleep(1.0)
+            cut = fleet.network.partition(("a",), ("b", "c"))
+            for member in fleet.live():
+                if member.vm.failure_domain == "a":
+                    member.process.pause()
+            member = fleet.start(victim, other)
+            await anyio.sleep(5.0)
+            self.assertEqual(
+                3, len(member.get("view").view.service_by_address)
+            )
+            fleet.network.heal(cut)
+            for peer in fleet.live():
+                peer.process.wake()
+            await anyio.sleep(20.0)
+            self.assertEqual(
+                3, len(member.get("view").view.service_by_address)
+            )
+            self.assertGreater(member.get("sync").conflicts, 0)
+            await fleet.wait_for(fleet.publish(), BOUND_S)
+            self.assertEqual(
+                4, len(member.get("view").view.service_by_address)
+            )
+            assert_monotonic(self, fleet)
+
+        fleet_module.run(scenario, 12)
+
+
+class TestNotice(unittest.TestCase):
+    def test_a_revision_seen_on_the_data_path_is_fetched(self):
+        """Guards against a process that stays behind without its parents."""
+
+        async def scenario(fleet):
+            behind = fleet.member_by_id["vm-1"]
+            ahead = fleet.member_by_id["vm-2"]
+            network = fleet.network
+            behind.process.failure_domain = "island"
+            cut = network.partition(("island",), tuple(fleet.domains))
+            fleet.member_by_id["vm-1"].kernel.environment.platform = (
+                platform.ReaderSource(fleet.platform)
+            )
+            behind.kernel.environment.platform.cut = True
+            await anyio.sleep(40.0)
+            revision = fleet.publish()
+            await anyio.sleep(1.0)
+            self.assertEqual(revision - 1, behind.revision)
+            network.heal(cut)
+            sync = behind.get("sync")
+            sync.report_newer(revision, ahead.vm.control_address)
+            before_s = anyio.current_time()
+            await behind.get("view").wait_for_change(revision - 1)
+            self.assertLess(anyio.current_time() - before_s, 0.1)
+
+        fleet_module.run(scenario, 12)
--- /dev/null
+++ b/tests/failures/test_lease.py
@@ -0,0 +1,148 @@
+"""The view lease: who may forward, and from when on."""
+
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin.internal.membership import lease
+from bramleypin.internal.model import configuration
+from bramleypin.standins import fleet as fleet_module
+from bramleypin.standins import platform
+
+
+def balancer(fleet):
+    """Return a balancer that is no reader, if there is one."""
+    found = [m for m in fleet.live() if m.vm.role == "balancer"]
+    found.sort(key=lambda m: m.get("members").place.is_reader)
+    return found[0]
+
+
+class TestLease(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [("short", 4.0, 12), ("long", 10.0, 12), ("large", 30.0, 90)]
+    )
+    def test_a_paused_process_refreshes_before_it_forwards(
+        self, _, pause_s, count
+    ):
+        """Guards against packets that a stale view sends after a pause."""
+
+        async def scenario(fleet):
+            member = balancer(fleet)
+            view_lease = member.get("lease")
+            self.assertTrue(view_lease.is_valid())
+            member.process.pause()
+            await anyio.sleep(0.1)
+            fleet.domains["a"] = configuration.FailureDomain("region", True)
+            revision = fleet.publish()
+            await anyio.sleep(pause_s)
+            member.process.wake()
+            self.assertEqual(revision - 1, member.get("view").view.revision)
+            woken_s = anyio.current_time()
+            while not view_lease.is_valid():
+                await anyio.sleep(0.0005)
+            self.assertTrue(member.get("view").view.is_out("a"))
+            self.assertLess(anyio.current_time() - woken_s, lease.LEASE_S)
+
+        fleet_module.run(scenario, count)
+
+    @parameterized.parameterized.expand(
+        [("before_the_answer", True), ("between_requests", False)]
+    )
+    def test_answers_that_waited_in_a_buffer_confirm_nothing(
+        self, _, in_flight
+    ):
+        """Guards against a lease that counts from the answer's arrival."""
+
+        async def scenario(fleet):
+            member = balancer(fleet)
+            view_lease = member.get("lease")
+            valid_at_change = []
+            member.get("view").listeners.append(
+                lambda: valid_at_change.append(view_lease.is_valid())
+            )
+            while in_flight != any(
+                link.sent_at_by_lease for link in member.get("sync").links
+            ):
+                await anyio.sleep(0.0005)
+            member.process.pause()
+            await anyio.sleep(0.1)
+            fleet.publish()
+            await anyio.sleep(10.0)
+            member.process.wake()
+            await anyio.sleep(3.0)
+            self.assertEqual([False], valid_at_change)
+            self.assertTrue(view_lease.is_valid())
+
+        fleet_module.run(scenario, 12)
+
+    def test_a_process_cut_off_from_everyone_drops(self):
+        """Guards against a pause and a partition that look the same."""
+
+        async def scenario(fleet):
+            member = balancer(fleet)
+            fleet.platform.set_down(True)
+            member.process.failure_domain = "island"
+            fleet.network.partition(("island",), tuple(fleet.domains))
+            await anyio.sleep(lease.LEASE_S)
+            for _ in range(100):
+                self.assertFalse(member.get("lease").is_valid())
+                await anyio.sleep(0.3)
+            fleet.network.heal()
+            await anyio.sleep(6.0)
+            self.assertTrue(member.get("lease").is_valid())
+
+        fleet_module.run(scenario, 12)
+
+    def test_a_process_without_peers_uses_the_platform(self):
+        """Guards against a lone reader that trusts nothing it reads."""
+
+        async def scenario(fleet):
+            member = balancer(fleet)
+            member.process.failure_domain = "island"
+            fleet.network.partition(("island",), tuple(fleet.domains))
+            await anyio.sleep(20.0)
+            valid = 0
+            for _ in range(300):
+                await anyio.sleep(0.1)
+                valid += member.get("lease").is_valid()
+            self.assertGreater(valid, 0)
+
+        fleet_module.run(scenario, 12)
+
+    def test_a_process_that_knows_no_other_goes_on(self):
+        """Guards against a single balancer that stops in an outage."""
+
+        async def scenario(fleet):
+            member = fleet.live()[0]
+            view_lease = member.get("lease")
+            fleet.platform.set_down(True)
+            await anyio.sleep(60.0)
+            self.assertTrue(view_lease.is_valid())
+            member.process.pause()
+            await anyio.sleep(10.0)
+            member.process.wake()
+            self.assertFalse(view_lease.is_valid())
+            await anyio.sleep(lease.LEASE_S + 0.1)
+            self.assertTrue(view_lease.is_valid())
+
+        fleet_module.run(scenario, 1)
+
+    def test_a_process_that_has_just_started_forwards_nothing(self):
+        """Guards against forwarding on the empty view of a new process."""
+
+        async def scenario(fleet):
+            victim = balancer(fleet)
+            victim.process.kill()
+            source = platform.ReaderSource(fleet.platform)
+            source.cut = True
+            await anyio.sleep(1.0)
+            fresh = fleet.start(victim.vm.id, source)
+            await fresh.kernel.started.wait()
+            while fresh.get("view").view.revision == 0:
+                self.assertFalse(fresh.get("lease").is_valid())
+                await anyio.sleep(0.1)
+                if anyio.current_time() > 30.0:
+                    source.cut = False
+
+        fleet_module.run(scenario, 12)
--- /dev/null
+++ b/tests/fuzz/test_control_frames.py
@@ -0,0 +1,191 @@
+"""Damaged, forged and replayed control frames end one link only."""
+
+import random
+import unittest
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import parameterized
+
+from bramleypin import errors
+from bramleypin.internal.membership import secure_link
+from bramleypin.internal.wire import control
+from bramleypin.standins import fleet as fleet_module
+
+KEY = bytes.fromhex(fleet_module.KEY)
+EXAMPLES = [
+    control.Hello(b"n" * 16, "id", "agent", "a"),
+    control.Proof(b"m" * 32),
+    control.Subscribe(3, {1: b"d" * 16}, 4, True),
+    control.Update(b"manifest", {"s": b"x", "gone": None}, (1, 2)),
+    control.Shard(3, 1, b"services"),
+    control.LeaseRequest(9),
+    control.LeaseAnswer(9, 3),
+    control.MemberUpdate(2, 1, [["a"] * 6], ["b"], [], ["10.0.0.1:1"]),
+    control.StatusRequest(),
+    control.StatusAnswer({"sync": {"revision": 3}}),
+    control.TraceRequest("flow", 10),
+    control.TraceAnswer([["flow", 1.5]]),
+    control.BurnRequest(60.0),
+    control.BurnAnswer({"s": {"answered": 1}}),
+    control.RequestFailed("reason"),
+]
+
+
+class Tap:
+    """A control link that shows and changes the frames it sends."""
+
+    def __init__(self, link):
+        self.link = link
+        self.sent = []
+
+    async def send(self, message):
+        self.sent.append(message)
+        await self.link.send(message)
+
+    async def receive(self):
+        return await self.link.receive()
+
+    async def aclose(self):
+        await self.link.aclose()
+
+
+def replay(tap):
+    return tap.sent[-1]
+
+
+def flip(tap):
+    return tap.sent[-1][:-1] + bytes([tap.sent[-1][-1] ^ 1])
+
+
+def truncate(tap):
+    return tap.sent[-1][:9]
+
+
+def handshake_again(tap):
+    return tap.sent[0]
+
+
+def nothing(tap):
+    return b""
+
+
+class TestControlFrames(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [(type(item).__name__, item) for item in EXAMPLES]
+    )
+    def test_a_message_survives_encoding(self, _, item):
+        """Guards against fields lost between versions of the codec."""
+        self.assertEqual(item, control.decode(control.encode(item)))
+
+    def test_every_message_is_covered(self):
+        """Guards against a message class without a test."""
+        covered = {type(item) for item in EXAMPLES}
+        self.assertEqual(set(control.CLASS_BY_CODE.values()), covered)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    @hypothesis.given(
+        strategies.sampled_from(EXAMPLES),
+        strategies.binary(max_size=40),
+        strategies.integers(0, 200),
+    )
+    def test_damaged_messages_are_refused(self, item, noise, at):
+        """Guards against an exception that ends more than the link."""
+        data = control.encode(item)
+        for damaged in (noise, data[:at] + noise + data[at + 1 :]):
+            try:
+                control.decode(damaged)
+            except errors.InvalidFrame:
+                continue
+
+    @parameterized.parameterized.expand(
+        [
+            (replay.__name__, replay, "control_replayed"),
+            (flip.__name__, flip, "control_mac"),
+            (truncate.__name__, truncate, "control_truncated"),
+            (nothing.__name__, nothing, "control_truncated"),
+            (handshake_again.__name__, handshake_again, "control_mac"),
+        ]
+    )
+    def test_a_bad_frame_ends_its_link_only(self, _, damage, reason):
+        """Guards against one peer that ends the others' links."""
+
+        async def scenario(fleet):
+            victim, other = fleet.live()[:2]
+            links = len(victim.get("sync").links)
+            raw = await other.process.control.connect(
+                victim.vm.control_address
+            )
+            tap = Tap(raw)
+            hello = secure_link.new_hello(
+                random.Random(1), "intruder", "agent", "a"
+            )
+            link = await secure_link.shake_hands(tap, hello, (KEY,), True)
+            await link.send(control.LeaseRequest(1))
+            self.assertEqual(
+                control.LeaseAnswer, type(await receive_answer(link))
+            )
+            await raw.send(damage(tap))
+            await anyio.sleep(1.0)
+            sync = victim.get("sync")
+            self.assertEqual({reason: 1}, sync.rejected_by_reason)
+            self.assertEqual(links, len(sync.links))
+            self.assertTrue(victim.get("lease").is_valid())
+
+        fleet_module.run(scenario, 6)
+
+    @parameterized.parameterized.expand(
+        [
+            ("wrong_key", b"w" * 32, "authentication"),
+            ("reflected_hello", None, "authentication"),
+        ]
+    )
+    def test_a_peer_without_a_key_is_refused(self, _, key, reason):
+        """Guards against links to processes that know no valid key."""
+
+        async def scenario(fleet):
+            victim, other = fleet.live()[:2]
+            raw = await other.process.control.connect(
+                victim.vm.control_address
+            )
+            if key is None:
+                hello = await raw.receive()
+                await raw.send(hello)
+            else:
+                hello = secure_link.new_hello(
+                    random.Random(1), "intruder", "agent", "a"
+                )
+                with self.assertRaises(errors.BramleypinError):
+                    await secure_link.shake_hands(raw, hello, (key,), True)
+            await anyio.sleep(1.0)
+            rejected = victim.get("sync").rejected_by_reason
+            self.assertEqual({reason: 1}, rejected)
+
+        fleet_module.run(scenario, 6)
+
+    def test_random_bytes_before_the_handshake_are_counted(self):
+        """Guards against a listener that random input stops."""
+
+        async def scenario(fleet):
+            victim, other = fleet.live()[:2]
+            source = random.Random(5)
+            for length in (0, 1, 16, 1_000, 5_000, 100_000):
+                raw = await other.process.control.connect(
+                    victim.vm.control_address
+                )
+                await raw.send(source.randbytes(length))
+            await anyio.sleep(3.0)
+            rejected = victim.get("sync").rejected_by_reason
+            self.assertEqual(6, sum(rejected.values()))
+            self.assertTrue(victim.get("lease").is_valid())
+
+        fleet_module.run(scenario, 6)
+
+
+async def receive_answer(link):
+    """Return the next message that is no update."""
+    while True:
+        message = await link.receive()
+        if isinstance(message, control.LeaseAnswer):
+            return message
