Add the balancer's data path

Cause: nothing forwarded datagrams yet. Conclusion: answers return through whichever balancer a datagram meets.

--- /dev/null
+++ b/src/bramleypin/internal/balancer/inspection.py
@@ -0,0 +1,68 @@
+"""What a balancer has to know about a caller's CoAP datagram."""
+
+import dataclasses
+
+from bramleypin import errors
+from bramleypin.internal.model import view as view_module
+from bramleypin.internal.wire import coap
+from bramleypin.internal.wire import pin as pin_module
+
+BLOCK2 = 23
+BLOCK1 = 27
+_CODE_AT = 1
+_TOKEN_AT = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inspection:
+    """A datagram's code, its valid pin and the pin as it was sent.
+
+    ``pin`` is ``None`` when there is no pin, or one that is not valid for
+    the service, which then has no meaning.
+    """
+
+    code: int
+    pin: pin_module.Pin | None
+    pin_bytes: bytes
+    invalid_pin: bool
+
+
+def inspect(
+    datagram: bytes, service: str, keys: tuple[bytes, ...]
+) -> Inspection:
+    """Read a datagram's code and pin without decoding the message.
+
+    :raises errors.InvalidFrame: when the datagram is no CoAP message.
+    """
+    echo = coap.scan_option(datagram, coap.ECHO)
+    code = datagram[_CODE_AT]
+    if echo is None:
+        return Inspection(code, None, b"", False)
+    try:
+        pin = pin_module.decode(echo, service, keys)
+    except errors.InvalidPin:
+        return Inspection(code, None, b"", True)
+    return Inspection(code, pin, echo, False)
+
+
+def token(datagram: bytes) -> bytes:
+    """Return a CoAP datagram's token."""
+    return datagram[_TOKEN_AT : _TOKEN_AT + (datagram[0] & 0x0F)]
+
+
+def runs_once(code: int, service: view_module.ServiceView) -> bool:
+    """Tell whether a request must not run twice; so for unknown methods."""
+    try:
+        method = coap.method_name(code)
+    except ValueError:
+        return True
+    return method not in coap.IDEMPOTENT_METHODS or method in service.run_once
+
+
+def block_number(datagram: bytes) -> int:
+    """Return the higher block number of Block1 and Block2 (RFC 7959).
+
+    :raises errors.InvalidFrame: when the datagram is no CoAP message.
+    """
+    values = (coap.scan_option(datagram, n) for n in (BLOCK1, BLOCK2))
+    return max(int.from_bytes(value or b"", "big") >> 4 for value in values)
--- /dev/null
+++ b/src/bramleypin/internal/wire/replay.py
@@ -0,0 +1,66 @@
+"""Replay protection: sliding windows of sequence numbers (RFC 6479)."""
+
+import collections
+
+WINDOW = 1_024
+# Every balancer and agent of the largest fleet sends under one nonce.
+SENDERS_KEPT = 16_384
+
+_WORD_BITS = 64
+# One word more than the window, so that sliding clears whole words.
+_WORDS = WINDOW // _WORD_BITS + 1
+
+
+class Window:
+    """The sequence numbers that one sender has used."""
+
+    __slots__ = ("_highest", "_words")
+
+    def __init__(self) -> None:
+        self._highest = 0
+        self._words = [0] * _WORDS
+
+    def accept(self, sequence: int) -> bool:
+        """Note a number from 1 up; ``False`` when used before or too old."""
+        if sequence < 1 or sequence + WINDOW <= self._highest:
+            return False
+        word = sequence // _WORD_BITS
+        if sequence > self._highest:
+            newest = self._highest // _WORD_BITS
+            for step in range(min(word - newest, _WORDS)):
+                self._words[(word - step) % _WORDS] = 0
+            self._highest = sequence
+        bit = 1 << sequence % _WORD_BITS
+        if self._words[word % _WORDS] & bit:
+            return False
+        self._words[word % _WORDS] |= bit
+        return True
+
+
+class ReplayFilter:
+    """Windows by sender nonce, of which a bounded number is kept.
+
+    The window of the sender that was silent for longest goes first. Its old
+    frames would be accepted again, so the number kept must exceed the number
+    of senders.
+    """
+
+    def __init__(self, senders: int = SENDERS_KEPT):
+        self._senders = senders
+        self._window_by_nonce: collections.OrderedDict[int, Window] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._window_by_nonce)
+
+    def accept(self, nonce: int, sequence: int) -> bool:
+        """Note a sender's number; ``False`` for a replay or a late frame."""
+        window = self._window_by_nonce.get(nonce)
+        if window is None:
+            window = self._window_by_nonce[nonce] = Window()
+            if len(self._window_by_nonce) > self._senders:
+                self._window_by_nonce.popitem(last=False)
+        else:
+            self._window_by_nonce.move_to_end(nonce)
+        return window.accept(sequence)
--- /dev/null
+++ b/src/bramleypin/standins/fabric.py
@@ -0,0 +1,95 @@
+"""A small fabric: sprays callers' datagrams over the live balancers."""
+
+import random
+import typing
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.net import environment
+from bramleypin.internal.wire import proxy_header
+
+
+class Fabric:
+    """Listens at service addresses and talks PROXY v2 to the balancers.
+
+    ``balancers`` may be changed at any time. ``drop`` and ``pick`` let tests
+    lose datagrams or choose the balancer of each.
+    """
+
+    def __init__(
+        self,
+        env: environment.Environment,
+        service_addresses: list[address.Address],
+        inside: address.Address,
+        balancers: list[address.Address],
+        rng: random.Random,
+    ):
+        self._environment = env
+        self._service_addresses = service_addresses
+        self._inside_address = inside
+        self.balancers = balancers
+        self.pick: typing.Callable[[list], address.Address] = rng.choice
+        self.drop: typing.Callable[[], bool] = lambda: False
+        self.ready = anyio.Event()
+        self.sent = 0
+        self.returned = 0
+        self.misdirected = 0
+        self._port_by_service: dict[
+            address.Address, environment.DatagramPort
+        ] = {}
+
+    async def run(self) -> None:
+        """Carry datagrams until cancelled."""
+        opened = self._environment.open_datagram_port
+        self._inside = await opened(self._inside_address)
+        try:
+            for item in self._service_addresses:
+                port = await opened(item)
+                self._port_by_service[port.address] = port
+            async with anyio.create_task_group() as tasks:
+                for port in self._port_by_service.values():
+                    tasks.start_soon(self._spray, port)
+                tasks.start_soon(self._return)
+                self.ready.set()
+        finally:
+            with anyio.CancelScope(shield=True):
+                for port in (self._inside, *self._port_by_service.values()):
+                    await port.aclose()
+
+    @property
+    def service_addresses(self) -> list[address.Address]:
+        """The addresses that are open."""
+        return list(self._port_by_service)
+
+    async def _spray(self, port: environment.DatagramPort) -> None:
+        while True:
+            try:
+                data, caller = await port.receive()
+            except errors.PortClosed:
+                return
+            if not self.balancers or self.drop():
+                continue
+            header = proxy_header.encode(
+                address.Address(*caller), port.address
+            )
+            self._inside.send(header + data, self.pick(self.balancers))
+            self.sent += 1
+
+    async def _return(self) -> None:
+        while True:
+            try:
+                data, _ = await self._inside.receive()
+                source, caller = proxy_header.decode(data)
+            except errors.PortClosed:
+                return
+            except errors.InvalidFrame:
+                self.misdirected += 1
+                continue
+            port = self._port_by_service.get(source)
+            if port is None:
+                self.misdirected += 1
+            elif not self.drop():
+                port.send(data[proxy_header.HEADER_BYTES :], caller)
+                self.returned += 1
