Let the observe services report themselves as plain values

Cause: the tool asks daemons for status, traces and outcomes over the control protocol, which carries CBOR values and no clocks. Conclusion: handlers can call these; the call interfaces are unchanged.

--- a/src/bramleypin/internal/observe/logs.py
+++ b/src/bramleypin/internal/observe/logs.py
@@ -8,6 +8,8 @@
 from bramleypin import settings as settings_module
 
 REPEAT_INTERVAL_S = 10.0
+# Keys may name callers, of which there are many; the oldest is forgotten.
+REPEAT_KEYS = 1_024
 _FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {message}"
 
 
@@ -56,7 +58,12 @@
             count = self._suppressed_by_key.get(key, 0)
             self._suppressed_by_key[key] = count + 1
             return
+        self._next_by_key.pop(key, None)
         self._next_by_key[key] = now + REPEAT_INTERVAL_S
+        if len(self._next_by_key) > REPEAT_KEYS:
+            oldest = next(iter(self._next_by_key))
+            del self._next_by_key[oldest]
+            self._suppressed_by_key.pop(oldest, None)
         repeats = self._suppressed_by_key.pop(key, 0)
         if repeats:
             sentence = f"{sentence} ({repeats} more since the last line)"
--- a/src/bramleypin/internal/observe/metrics.py
+++ b/src/bramleypin/internal/observe/metrics.py
@@ -5,6 +5,7 @@
 import anyio
 import statsd
 
+from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal import registry
 
@@ -19,11 +20,18 @@
     meaning: str
 
 
+KINDS = ("counter", "gauge", "timing")
+
 METRICS: registry.Registry[Metric] = registry.Registry("metric")
 
 
 def declare(name: str, kind: str, unit: str, meaning: str) -> str:
-    """Declare a metric at import time and return its name."""
+    """Declare a metric at import time and return its name.
+
+    :raises errors.UnknownName: when the kind is not one that statsd has.
+    """
+    if kind not in KINDS:
+        raise errors.UnknownName("kind of metric", kind, list(KINDS))
     METRICS.register(name)(Metric(name, kind, unit, meaning))
     return name
 
@@ -61,12 +69,25 @@
         if self._client is not None:
             self._client.timing(name, seconds * 1000)
 
+    def snapshot(self) -> dict[str, dict[str, float]]:
+        """Return all counters and gauges since the process started."""
+        return {
+            "counts": dict(sorted(self.count_by_name.items())),
+            "gauges": dict(sorted(self.gauge_by_name.items())),
+        }
+
     async def run(self) -> None:
         """Send what has changed, once an interval."""
         while self._client is not None:
             await anyio.sleep(self.kernel.settings.metrics.interval_s)
             self._flush(self._client)
 
+    async def stop(self) -> None:
+        """Send the last increments, which would otherwise be lost."""
+        if self._client is not None:
+            self._flush(self._client)
+            self._client.close()
+
     def _flush(self, client: statsd.StatsClient) -> None:
         with client.pipeline() as pipe:
             for name, value in self.count_by_name.items():
--- a/src/bramleypin/internal/observe/trace.py
+++ b/src/bramleypin/internal/observe/trace.py
@@ -2,11 +2,15 @@
 
 import collections
 import dataclasses
+import typing
 
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
 
+# An answer to a trace request stays well below a control frame's limit.
+REPORT_ENTRIES = 256
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -38,3 +42,21 @@
     def find(self, text: str) -> list[Entry]:
         """Return the entries whose flow contains a text, oldest first."""
         return [entry for entry in self.entries if text in entry.flow]
+
+    def report(self, text: str) -> list[dict[str, typing.Any]]:
+        """Return the latest matching entries as plain CBOR values.
+
+        ``age_s`` counts back from now, because the clocks of two machines
+        cannot be compared.
+        """
+        now = anyio.current_time()
+        return [
+            {
+                "age_s": now - entry.time_s,
+                "flow": entry.flow,
+                "decision": entry.decision,
+                "reason": entry.reason,
+                "revision": entry.revision,
+            }
+            for entry in self.find(text)[-REPORT_ENTRIES:]
+        ]
