--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -23,6 +23,47 @@
         super().__init__(f"{file}: {key} = {value!r}: {advice}")
 
 
+class InvalidAnswers(BramleypinError):
+    """Raised when answers to the questionnaire cannot be used.
+
+    ``faults`` holds one InvalidSettings for each wrong answer.
+    """
+
+    exit_code = 2
+
+    def __init__(self, faults: list[InvalidSettings]):
+        self.faults = faults
+        super().__init__("\n".join(str(fault) for fault in faults))
+
+
+class PromiseBroken(BramleypinError):
+    """Raised when a configuration would break a promise to callers.
+
+    ``findings`` holds one sentence for each, with what to do instead.
+    """
+
+    exit_code = 5
+
+    def __init__(self, findings: list[str]):
+        self.findings = findings
+        super().__init__("\n".join(findings))
+
+
+class FleetSilent(BramleypinError):
+    """Raised when no daemon that the tool asked has answered."""
+
+    exit_code = 6
+
+    def __init__(self, reason_by_peer: dict[str, str]):
+        self.reason_by_peer = reason_by_peer
+        lines = [f"{peer}: {text}" for peer, text in reason_by_peer.items()]
+        lines.append(
+            "no daemon answered; check the addresses given with --peer, the "
+            "key in the settings file, and that the daemons run"
+        )
+        super().__init__("\n".join(lines))
+
+
 class ServiceFailed(BramleypinError):
     """Raised by the kernel when one of its services ends with an error."""
 
--- a/src/bramleypin/internal/model/configuration.py
+++ b/src/bramleypin/internal/model/configuration.py
@@ -85,7 +85,7 @@
 
 def shard_of(service: str) -> int:
     """Return the number of the shard that holds a service."""
-    return xxhash.xxh64_intdigest(service) % SHARDS
+    return xxhash.xxh64_intdigest(service.encode()) % SHARDS
 
 
 def encode(document: _Document) -> bytes:
--- /dev/null
+++ b/src/bramleypin/internal/tool/answers_file.py
@@ -0,0 +1,177 @@
+"""Reads an answers file and says clearly what is wrong in it."""
+
+import difflib
+import pathlib
+import tomllib
+import typing
+
+import pydantic
+
+from bramleypin import errors
+from bramleypin.internal.tool import answers as answers_module
+
+_EXAMPLE_BY_TYPE = {
+    "int_type": "a whole number without quotes, for example 5",
+    "int_from_float": "a whole number, for example 5",
+    "float_type": "a number without quotes, for example 0.25",
+    "string_type": 'text in quotes, for example "waco"',
+    "bool_type": "true or false, without quotes",
+    "list_type": 'a list in brackets, for example ["POST", "PATCH"]',
+    "model_type": "a table, for example [services.each_host]",
+    "finite_number": "a finite number, for example 0.25",
+}
+
+
+def load(path: pathlib.Path) -> answers_module.Answers:
+    """Read and validate an answers file.
+
+    :raises errors.InvalidSettings: when it cannot be read or parsed.
+    :raises errors.InvalidAnswers: with one fault for each wrong answer.
+    """
+    return validate(read_table(path), str(path))
+
+
+def read_table(path: pathlib.Path) -> dict[str, typing.Any]:
+    """Read a TOML file without validating its contents.
+
+    :raises errors.InvalidSettings: when it cannot be read or parsed.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.InvalidSettings(
+            str(path), "(file)", str(error), "name a readable UTF-8 TOML file"
+        ) from error
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise errors.InvalidSettings(
+            str(path), "(TOML syntax)", str(error), "correct the syntax there"
+        ) from error
+
+
+def validate(
+    table: dict[str, typing.Any], file: str
+) -> answers_module.Answers:
+    """Validate the contents of an answers file.
+
+    :raises errors.InvalidAnswers: with one fault for each wrong answer.
+    """
+    try:
+        return answers_module.Answers.model_validate(table)
+    except pydantic.ValidationError as error:
+        faults = [_fault(file, table, item) for item in error.errors()]
+        raise errors.InvalidAnswers(faults) from None
+
+
+def _fault(
+    file: str, table: dict[str, typing.Any], item: typing.Any
+) -> errors.InvalidSettings:
+    place = item["loc"]
+    value = None if item["type"] == "missing" else item["input"]
+    if isinstance(value, dict | list | pydantic.BaseModel) and place:
+        value = _short(value)
+    elif not place:
+        value = "(whole file)"
+    return errors.InvalidSettings(
+        file, key_text(table, place), value, advice(item)
+    )
+
+
+def _short(value: typing.Any) -> str:
+    name = value.get("name") if isinstance(value, dict) else None
+    if name is None:
+        name = getattr(value, "name", None)
+    if name:
+        return f"({name})"
+    if isinstance(value, list):
+        return f"(a list of {len(value)})"
+    return "(a table)"
+
+
+def key_text(table: typing.Any, place: tuple[str | int, ...]) -> str:
+    """Return a key such as ``services[scheduler].hosts[waco-1].slots``."""
+    text = ""
+    value = table
+    for part in place:
+        if isinstance(part, int):
+            value = value[part] if isinstance(value, list) else None
+            text += f"[{_item_name(value, part)}]"
+        else:
+            value = value.get(part) if isinstance(value, dict) else None
+            text += f".{part}" if text else part
+    return text or "(top level)"
+
+
+def _item_name(value: typing.Any, position: int) -> str:
+    if isinstance(value, dict):
+        name = value.get("name", value.get("id"))
+        if isinstance(name, str):
+            return name
+    return str(position)
+
+
+def advice(
+    item: typing.Any, place: tuple[str | int, ...] | None = None
+) -> str:
+    """Return what to write instead, for one fault that pydantic found."""
+    if place is None:
+        place = item["loc"]
+    kind = item["type"]
+    context = item.get("ctx", {})
+    if kind == "advice":
+        return item["msg"]
+    if kind == "missing":
+        return _missing_advice(place)
+    if kind == "extra_forbidden":
+        return _unknown_advice(place)
+    if kind == "literal_error":
+        return f"write one of: {context['expected']}"
+    if kind == "too_short":
+        return f"write at least {context['min_length']}"
+    for name, words in (
+        ("ge", "at least"),
+        ("gt", "more than"),
+        ("le", "at most"),
+        ("lt", "less than"),
+    ):
+        if name in context:
+            return f"write a number of {words} {context[name]:g}"
+    if kind in _EXAMPLE_BY_TYPE:
+        return f"write {_EXAMPLE_BY_TYPE[kind]}"
+    return item["msg"]
+
+
+def model_at(place: tuple[str | int, ...]) -> type[pydantic.BaseModel]:
+    """Return the model whose field the last part of a place names."""
+    model: type[pydantic.BaseModel] = answers_module.Answers
+    for part in place[:-1]:
+        field = model.model_fields.get(part) if isinstance(part, str) else None
+        if field is None:
+            continue
+        for candidate in (field.annotation, *_arguments(field.annotation)):
+            if isinstance(candidate, type) and issubclass(
+                candidate, pydantic.BaseModel
+            ):
+                model = candidate
+    return model
+
+
+def _arguments(annotation: typing.Any) -> tuple[typing.Any, ...]:
+    return typing.get_args(annotation)
+
+
+def _missing_advice(place: tuple[str | int, ...]) -> str:
+    field = model_at(place).model_fields.get(str(place[-1]))
+    if field is None or field.description is None:
+        return "add this table; `bramleypin questionnaire new` asks for it"
+    extra = field.json_schema_extra or {}
+    return f"add it ({field.description}), for example {extra['example']!r}"
+
+
+def _unknown_advice(place: tuple[str | int, ...]) -> str:
+    known = list(model_at(place).model_fields)
+    close = difflib.get_close_matches(str(place[-1]), known, n=1)
+    if close:
+        return f"there is no such question; did you mean {close[0]}?"
+    return f"there is no such question; use one of: {', '.join(known)}"
--- /dev/null
+++ b/src/bramleypin/internal/tool/capacity.py
@@ -0,0 +1,76 @@
+"""What a service can carry, in all and without each failure domain."""
+
+import dataclasses
+
+from bramleypin.internal.model import configuration
+from bramleypin.internal.tool import documents
+
+# Above this utilisation, waiting times grow quickly and operators are told.
+HIGH_UTILISATION = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """What a set of endpoints carries together."""
+
+    endpoints: int
+    requests_per_s: float
+    callers: int
+
+    def carries(self, demand: documents.Demand) -> bool:
+        """Tell whether a load is within the capacity."""
+        return (
+            self.requests_per_s >= demand.requests_per_s
+            and self.callers >= demand.open_callers
+        )
+
+    def utilisation(self, demand: documents.Demand) -> float:
+        """Return the load as a share of the capacity."""
+        if not demand.requests_per_s:
+            return 0.0
+        if not self.requests_per_s:
+            return float("inf")
+        return demand.requests_per_s / self.requests_per_s
+
+    def text(self, demand: documents.Demand) -> str:
+        """Describe the capacity next to the load that it faces."""
+        return (
+            f"{self.requests_per_s:g} requests/s and {self.callers} callers "
+            f"for a load of {demand.requests_per_s:g} requests/s and "
+            f"{demand.open_callers} callers"
+        )
+
+
+def of_endpoints(
+    endpoints: list[configuration.Endpoint], demand: documents.Demand
+) -> Capacity:
+    """Return the capacity of endpoints; a weight is slots times speed."""
+    total_weight = sum(endpoint.weight for endpoint in endpoints)
+    return Capacity(
+        len(endpoints),
+        round(total_weight / demand.slot_time_s, 3),
+        sum(endpoint.connections for endpoint in endpoints),
+    )
+
+
+def serving(
+    service: configuration.Service, out: set[str]
+) -> list[configuration.Endpoint]:
+    """Return the endpoints that get new work while domains are out."""
+    return [
+        endpoint
+        for endpoint in service.endpoints
+        if endpoint.state == "in_service"
+        and endpoint.failure_domain not in out
+    ]
+
+
+def without_each_domain(
+    service: configuration.Service, demand: documents.Demand
+) -> dict[str, Capacity]:
+    """Return the capacity that is left without each failure domain."""
+    domains = sorted({item.failure_domain for item in service.endpoints})
+    return {
+        domain: of_endpoints(serving(service, {domain}), demand)
+        for domain in domains
+    }
--- /dev/null
+++ b/src/bramleypin/internal/tool/configuration_commands.py
@@ -0,0 +1,215 @@
+"""The commands ``bramleypin configuration``."""
+
+import dataclasses
+import pathlib
+import typing
+
+import typer
+
+from bramleypin import errors
+from bramleypin.internal.tool import answers_file
+from bramleypin.internal.tool import capacity
+from bramleypin.internal.tool import checks
+from bramleypin.internal.tool import diff as diff_module
+from bramleypin.internal.tool import documents
+from bramleypin.internal.tool import domains
+from bramleypin.internal.tool import explain as explain_module
+from bramleypin.internal.tool import generate as generate_module
+from bramleypin.internal.tool import output
+
+application = typer.Typer(
+    no_args_is_help=True,
+    help="Generate, check and compare the configuration of a deployment.",
+)
+
+Json = typing.Annotated[
+    bool, typer.Option("--json", help="Print JSON instead of a table.")
+]
+Folder = typing.Annotated[
+    pathlib.Path, typer.Argument(help="A folder with a generated revision.")
+]
+
+
+@application.command()
+def generate(
+    answers: typing.Annotated[
+        pathlib.Path, typer.Argument(help="The answers file (TOML).")
+    ],
+    folder: typing.Annotated[
+        pathlib.Path, typer.Option("--output", help="Folder to write to.")
+    ],
+    previous: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            help="Folder with the revision in force; the output folder "
+            "itself if it holds one."
+        ),
+    ] = None,
+    revision: typing.Annotated[
+        int | None,
+        typer.Option(help="Number of the revision, instead of the next."),
+    ] = None,
+    force: typing.Annotated[
+        bool,
+        typer.Option(
+            "--force", help="Write it although capacity lacks or flows break."
+        ),
+    ] = False,
+) -> None:
+    """Derive the next revision from the answers and check it.
+
+    Writes manifest.cbor and shard-NN.cbor, which you publish, the shards
+    first, and configuration.json for reading. Equal answers give equal bytes;
+    when nothing has changed, nothing is written.
+
+    Example: bramleypin configuration generate answers.toml --output new
+    --previous current
+    """
+    if previous is None and documents.exists(folder):
+        previous = folder
+    before = None if previous is None else documents.read(previous)
+    if before is None and revision is not None and revision > 1:
+        output.note(
+            "no previous revision is named: every failure domain is in "
+            "service and no address is retired in this one"
+        )
+    loaded = answers_file.load(answers)
+    bundle = generate_module.bundle(loaded, before, revision)
+    if before is not None and revision is None:
+        if generate_module.same_contents(bundle, before):
+            bundle = before
+    if bundle is not before:
+        for finding in checks.require(bundle, before, force):
+            output.note(f"forced although: {finding}")
+    elif previous == folder:
+        output.line(f"nothing has changed since revision {bundle.revision}")
+        return
+    documents.write(bundle, folder)
+    output.line(f"{folder}: revision {bundle.revision} written")
+    _print_remaining(bundle)
+
+
+def _print_remaining(bundle: documents.Bundle) -> None:
+    for item in domains.remaining(bundle):
+        share = item.left.utilisation(item.demand)
+        if share >= capacity.HIGH_UTILISATION:
+            output.note(item.text())
+
+
+@application.command()
+def check(
+    folder: Folder,
+    previous: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Folder with the revision that is in force."),
+    ] = None,
+    json: Json = False,
+) -> None:
+    """Refuse a revision that breaks a promise to callers.
+
+    Example: bramleypin configuration check new --previous current
+    """
+    bundle = documents.read(folder)
+    before = None if previous is None else documents.read(previous)
+    findings = checks.run(bundle, before)
+    if json:
+        output.as_json({"revision": bundle.revision, "findings": findings})
+    if findings:
+        raise errors.PromiseBroken(findings)
+    if not json:
+        _print_capacity(bundle)
+        output.line(f"{folder}: revision {bundle.revision} is valid")
+
+
+def _print_capacity(bundle: documents.Bundle) -> None:
+    rows = []
+    for name, demand in bundle.demand_by_service.items():
+        service = bundle.service_by_name[name]
+        for domain, left in capacity.without_each_domain(
+            service, demand
+        ).items():
+            rows.append(
+                (
+                    name,
+                    domain,
+                    left.endpoints,
+                    left.requests_per_s,
+                    demand.requests_per_s,
+                    f"{left.utilisation(demand):.0%}",
+                )
+            )
+    output.table(
+        (
+            "service",
+            "without",
+            "endpoints left",
+            "requests/s carried",
+            "requests/s offered",
+            "used",
+        ),
+        rows,
+    )
+
+
+@application.command()
+def diff(
+    old: typing.Annotated[
+        pathlib.Path, typer.Argument(help="Folder with the old revision.")
+    ],
+    new: typing.Annotated[
+        pathlib.Path, typer.Argument(help="Folder with the new revision.")
+    ],
+    json: Json = False,
+) -> None:
+    """Say what a change will do, with the share of flows that move.
+
+    Example: bramleypin configuration diff current new
+    """
+    before = documents.read(old)
+    after = documents.read(new)
+    general = diff_module.general(before, after)
+    count = len({*before.service_by_name, *after.service_by_name})
+    found = list(
+        output.progress(
+            diff_module.changes(before, after), count, "comparing services"
+        )
+    )
+    if json:
+        services = [dataclasses.asdict(item) for item in found]
+        output.as_json({"general": general, "services": services})
+        return
+    for text in general:
+        output.line(text)
+    for item in found:
+        output.line(item.text())
+    if not found:
+        output.line("no service changes")
+
+
+@application.command()
+def explain(
+    key: typing.Annotated[
+        str | None,
+        typer.Argument(
+            help="A value, or a part above it; everything if left out."
+        ),
+    ] = None,
+    answers: typing.Annotated[
+        pathlib.Path, typer.Option(help="The answers file (TOML).")
+    ] = pathlib.Path("answers.toml"),
+    json: Json = False,
+) -> None:
+    """Say which answer a value of the configuration came from.
+
+    Example: bramleypin configuration explain
+    scheduler.endpoints.scheduler-1.weight --answers answers.toml
+    """
+    found = explain_module.find(answers_file.load(answers), key)
+    if json:
+        output.as_json([dataclasses.asdict(item) for item in found])
+        return
+    for item in found:
+        output.line(f"{item.key} = {item.value!r}", style="bold")
+        if item.answer is not None:
+            output.line(f"  answer: {item.answer} ({item.question})")
+        output.line(f"  rule: {item.rule}")
--- /dev/null
+++ b/src/bramleypin/internal/tool/domain_commands.py
@@ -0,0 +1,114 @@
+"""The commands ``bramleypin domain``."""
+
+import pathlib
+import typing
+
+import typer
+
+from bramleypin.internal.tool import documents
+from bramleypin.internal.tool import domains
+from bramleypin.internal.tool import output
+
+application = typer.Typer(
+    no_args_is_help=True,
+    help="Take a failure domain out of service, or return it.",
+)
+
+Name = typing.Annotated[str, typer.Argument(help="The failure domain.")]
+Folder = typing.Annotated[
+    pathlib.Path,
+    typer.Option(
+        "--configuration", help="Folder with the revision that is in force."
+    ),
+]
+Output = typing.Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        "--output",
+        help="Folder to write to; the configuration folder if left out.",
+    ),
+]
+Json = typing.Annotated[
+    bool, typer.Option("--json", help="Print JSON instead of sentences.")
+]
+
+
+@application.command()
+def out(
+    name: Name,
+    configuration: Folder,
+    folder: Output = None,
+    force: typing.Annotated[
+        bool,
+        typer.Option(
+            "--force", help="Write it even if the rest cannot carry the load."
+        ),
+    ] = False,
+    json: Json = False,
+) -> None:
+    """Write the next revision, with a failure domain out of service.
+
+    Flows whose endpoint is there are abandoned; a few seconds after you have
+    published the revision, no packet is sent there.
+
+    Example: bramleypin domain out waco --configuration current --output new
+    """
+    _switch(name, True, configuration, folder or configuration, force, json)
+
+
+@application.command(name="return")
+def return_(
+    name: Name,
+    configuration: Folder,
+    folder: Output = None,
+    json: Json = False,
+) -> None:
+    """Write the next revision, with a failure domain back in service.
+
+    Its endpoints are cold and warm up before they get their full share.
+
+    Example: bramleypin domain return waco --configuration current
+    """
+    _switch(name, False, configuration, folder or configuration, True, json)
+
+
+def _switch(
+    name: str,
+    out: bool,
+    configuration: pathlib.Path,
+    folder: pathlib.Path,
+    force: bool,
+    json: bool,
+) -> None:
+    bundle = domains.switched(documents.read(configuration), name, out)
+    if not force:
+        domains.require_capacity(bundle)
+    documents.write(bundle, folder)
+    left = domains.remaining(bundle)
+    if json:
+        output.as_json(
+            {
+                "revision": bundle.revision,
+                "out": bundle.out_domains(),
+                "services": [
+                    {
+                        "service": item.service,
+                        "endpoints": item.left.endpoints,
+                        "carries_requests_per_s": item.left.requests_per_s,
+                        "offered_requests_per_s": item.demand.requests_per_s,
+                        "enough": item.left.carries(item.demand),
+                    }
+                    for item in left
+                ],
+            }
+        )
+        return
+    state = "out of service" if out else "in service"
+    output.line(f"failure domain {name} is {state} in this revision")
+    for item in left:
+        output.line(item.text())
+    # The shards are the same as before, so the manifest alone is published.
+    output.line(
+        f"{folder}: revision {bundle.revision} written; publish "
+        f"{folder / documents.MANIFEST_FILE}"
+    )
--- /dev/null
+++ b/src/bramleypin/internal/tool/domains.py
@@ -0,0 +1,88 @@
+"""Takes failure domains out of service and returns them."""
+
+import dataclasses
+
+import msgspec
+
+from bramleypin import errors
+from bramleypin.internal.tool import capacity
+from bramleypin.internal.tool import documents
+
+
+@dataclasses.dataclass(frozen=True)
+class Remaining:
+    """What one service carries with the failure domains that are left."""
+
+    service: str
+    left: capacity.Capacity
+    demand: documents.Demand
+
+    def text(self) -> str:
+        """Describe it in one line."""
+        share = self.left.utilisation(self.demand)
+        note = ""
+        if not self.left.carries(self.demand):
+            note = ": not enough"
+        elif share >= capacity.HIGH_UTILISATION:
+            note = ": enough, but callers will wait longer"
+        return (
+            f"{self.service}: {self.left.endpoints} endpoints are left, "
+            f"{self.left.text(self.demand)} ({share:.0%} used){note}"
+        )
+
+
+def switched(
+    bundle: documents.Bundle, name: str, out: bool
+) -> documents.Bundle:
+    """Return the next revision, with one failure domain out or returned.
+
+    :raises errors.UnknownName: when there is no such failure domain.
+    :raises errors.PromiseBroken: when it is in that state already.
+    """
+    domains = dict(bundle.manifest.failure_domain_by_name)
+    if name not in domains:
+        raise errors.UnknownName("failure domain", name, sorted(domains))
+    if domains[name].out == out:
+        state = "out of service" if out else "in service"
+        raise errors.PromiseBroken(
+            [
+                f"failure domain {name} is {state} already in revision "
+                f"{bundle.revision}; publish that revision again if daemons "
+                "do not show it"
+            ]
+        )
+    domains[name] = msgspec.structs.replace(domains[name], out=out)
+    return documents.assemble(
+        bundle.revision + 1,
+        domains,
+        bundle.manifest.retired,
+        bundle.service_by_name,
+        bundle.demand_by_service,
+        bundle.deployment,
+    )
+
+
+def remaining(bundle: documents.Bundle) -> list[Remaining]:
+    """Return what each service with a known load still carries."""
+    out = set(bundle.out_domains())
+    result = []
+    for name, demand in bundle.demand_by_service.items():
+        service = bundle.service_by_name[name]
+        endpoints = capacity.serving(service, out)
+        left = capacity.of_endpoints(endpoints, demand)
+        result.append(Remaining(name, left, demand))
+    return result
+
+
+def require_capacity(bundle: documents.Bundle) -> None:
+    """Refuse a revision whose failure domains cannot carry the load.
+
+    :raises errors.PromiseBroken: naming each service that lacks capacity.
+    """
+    findings = [
+        item.text()
+        for item in remaining(bundle)
+        if not item.left.carries(item.demand)
+    ]
+    if findings:
+        raise errors.PromiseBroken(findings)
--- /dev/null
+++ b/src/bramleypin/internal/tool/explain.py
@@ -0,0 +1,185 @@
+"""Says which answer each value of the configuration came from."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from bramleypin import errors
+from bramleypin.internal.tool import answers as answers_module
+from bramleypin.internal.tool import generate
+
+
+@dataclasses.dataclass(frozen=True)
+class Origin:
+    """Where a value comes from.
+
+    ``answer`` is the key in the answers file, or ``None`` for a value that
+    no answer gives; ``rule`` says how the value follows.
+    """
+
+    key: str
+    value: typing.Any
+    answer: str | None
+    question: str
+    rule: str
+
+
+_SAME = "the answer as it is"
+
+# Field of the service document, its question and how the value follows.
+_SERVICE_FIELDS = (
+    ("addresses", "addresses", _SAME),
+    ("protocol", "protocol", _SAME),
+    ("run_once", "run_once", _SAME),
+    ("max_duration_s", "longest_request_s", _SAME),
+    ("objective.success", "must_succeed", _SAME),
+    ("objective.max_latency_s", "answer_within_s", _SAME),
+)
+_HOST_FIELDS = (
+    ("id", "id", _SAME),
+    ("failure_domain", "failure_domain", _SAME),
+    ("data", "address", "the address of the host with data_port"),
+    ("control", "address", "the address of the host with control_port"),
+    ("state", "leaving", "leaving when the answer is true"),
+)
+_TRAIT_FIELDS = (
+    ("slots", "slots", _SAME),
+    ("cold_slots", "cold_slots", _SAME),
+    ("ramp_s", "warm_up_s", _SAME),
+    ("connections", "connections", _SAME),
+    ("weight", "relative_speed", "slots x relative_speed"),
+)
+
+
+def find(answers: answers_module.Answers, key: str | None) -> list[Origin]:
+    """Return the origins of a value, or of all below a key.
+
+    :raises errors.UnknownName: when no value has the key.
+    """
+    everything = list(origins(answers))
+    if key is None:
+        return everything
+    found = [
+        origin
+        for origin in everything
+        if origin.key == key or origin.key.startswith(f"{key}.")
+    ]
+    if not found:
+        known = _nearest([origin.key for origin in everything], key)
+        raise errors.UnknownName("configuration value", key, known)
+    return found
+
+
+def _nearest(keys: list[str], key: str) -> list[str]:
+    """Return the keys on the level at which ``key`` goes wrong."""
+    parts = key.split(".")
+    for depth in range(len(parts), 0, -1):
+        prefix = parts[: depth - 1]
+        level = {
+            ".".join(item.split(".")[:depth])
+            for item in keys
+            if item.split(".")[: depth - 1] == prefix
+        }
+        if level:
+            return sorted(level)
+    return []
+
+
+def origins(
+    answers: answers_module.Answers,
+) -> collections.abc.Iterator[Origin]:
+    """Yield the origin of every value of the configuration."""
+    for domain in answers.failure_domains:
+        place = f"failure_domains.{domain.name}"
+        yield Origin(
+            f"{place}.region",
+            domain.region,
+            f"failure_domains[{domain.name}].region",
+            _text(answers_module.FailureDomain, "region"),
+            _SAME,
+        )
+        yield Origin(
+            f"{place}.out",
+            None,
+            None,
+            "",
+            "no answer: set by `bramleypin domain out` and `return`, and "
+            "carried over from the previous revision",
+        )
+    yield Origin(
+        "retired",
+        None,
+        None,
+        "",
+        "no answer: the addresses of earlier revisions that no service has "
+        "now",
+    )
+    for service in answers.services:
+        yield from _service_origins(service)
+
+
+def _service_origins(
+    service: answers_module.Service,
+) -> collections.abc.Iterator[Origin]:
+    document = generate.service(service)
+    for field, name, rule in _SERVICE_FIELDS:
+        value: typing.Any = document
+        for part in field.split("."):
+            value = getattr(value, part)
+        yield Origin(
+            f"{service.name}.{field}",
+            value,
+            f"services[{service.name}].{name}",
+            _text(answers_module.Service, name),
+            _rule(service, name, rule),
+        )
+    host_by_id = {host.id: host for host in service.hosts}
+    for endpoint in document.endpoints:
+        host = host_by_id[endpoint.id]
+        place = f"{service.name}.endpoints.{host.id}"
+        answer = f"services[{service.name}].hosts[{host.id}]"
+        for field, name, rule in _HOST_FIELDS:
+            yield Origin(
+                f"{place}.{field}",
+                getattr(endpoint, field),
+                f"{answer}.{name}",
+                _text(answers_module.Host, name),
+                _rule(host, name, rule),
+            )
+        for field, name, rule in _TRAIT_FIELDS:
+            yield Origin(
+                f"{place}.{field}",
+                getattr(endpoint, field),
+                _trait_answer(service, host, name),
+                _text(answers_module.HostTraits, name),
+                _trait_rule(service, host, name, rule),
+            )
+
+
+def _trait_answer(
+    service: answers_module.Service, host: answers_module.Host, name: str
+) -> str:
+    if getattr(host, name) is not None:
+        return f"services[{service.name}].hosts[{host.id}].{name}"
+    return f"services[{service.name}].each_host.{name}"
+
+
+def _trait_rule(
+    service: answers_module.Service,
+    host: answers_module.Host,
+    name: str,
+    rule: str,
+) -> str:
+    if getattr(host, name) is not None:
+        return rule
+    return _rule(service.each_host, name, rule)
+
+
+def _rule(table: typing.Any, name: str, rule: str) -> str:
+    if name in table.model_fields_set:
+        return rule
+    return f"{rule}; not answered, so the default applies"
+
+
+def _text(model: type[typing.Any], name: str) -> str:
+    return model.model_fields[name].description or ""
--- /dev/null
+++ b/src/bramleypin/internal/tool/generate.py
@@ -0,0 +1,114 @@
+"""Derives the configuration of a deployment from a team's answers."""
+
+from bramleypin.internal.model import configuration
+from bramleypin.internal.tool import answers as answers_module
+from bramleypin.internal.tool import documents
+
+
+def bundle(
+    answers: answers_module.Answers,
+    previous: documents.Bundle | None = None,
+    revision: int | None = None,
+) -> documents.Bundle:
+    """Return the revision that answers give.
+
+    What is not an answer is carried over from the previous revision: which
+    failure domains are out, and the retired addresses.
+    """
+    if revision is None:
+        revision = 1 if previous is None else previous.revision + 1
+    services = {item.name: service(item) for item in answers.services}
+    return documents.assemble(
+        revision,
+        _domains(answers, previous),
+        retired_addresses(services, previous),
+        services,
+        {item.name: _demand(item) for item in answers.services},
+        answers.deployment.name,
+    )
+
+
+def same_contents(one: documents.Bundle, other: documents.Bundle) -> bool:
+    """Tell whether two revisions differ in nothing but their number."""
+    return (
+        one.manifest.digest_by_shard == other.manifest.digest_by_shard
+        and one.manifest.failure_domain_by_name
+        == other.manifest.failure_domain_by_name
+        and one.manifest.retired == other.manifest.retired
+        and one.demand_by_service == other.demand_by_service
+        and one.deployment == other.deployment
+    )
+
+
+def retired_addresses(
+    services: dict[str, configuration.Service],
+    previous: documents.Bundle | None,
+) -> set[str]:
+    """Return the addresses that were used before and are not used now.
+
+    An address stays retired until a service gets it again.
+    """
+    if previous is None:
+        return set()
+    used = {text for item in services.values() for text in item.addresses}
+    before = set(previous.manifest.retired)
+    for item in previous.service_by_name.values():
+        before.update(item.addresses)
+    return before - used
+
+
+def service(answer: answers_module.Service) -> configuration.Service:
+    """Return the document of one service."""
+    hosts = sorted(answer.hosts, key=lambda host: host.id)
+    return configuration.Service(
+        name=answer.name,
+        addresses=tuple(answer.addresses),
+        endpoints=tuple(_endpoint(answer, host) for host in hosts),
+        protocol=answer.protocol,
+        run_once=tuple(answer.run_once),
+        max_duration_s=answer.longest_request_s,
+        objective=configuration.Objective(
+            success=answer.must_succeed, max_latency_s=answer.answer_within_s
+        ),
+    )
+
+
+def _endpoint(
+    answer: answers_module.Service, host: answers_module.Host
+) -> configuration.Endpoint:
+    traits = answer.traits(host)
+    return configuration.Endpoint(
+        id=host.id,
+        failure_domain=host.failure_domain,
+        data=f"{host.address}:{host.data_port}",
+        control=f"{host.address}:{host.control_port}",
+        slots=traits.slots,
+        cold_slots=traits.cold_slots,
+        ramp_s=traits.warm_up_s,
+        connections=traits.connections,
+        # Only the ratio of weights matters for placement. A weight that
+        # depends on its own host alone leaves the flows of others in place.
+        weight=round(traits.slots * traits.relative_speed, 6),
+        state="leaving" if host.leaving else "in_service",
+    )
+
+
+def _demand(answer: answers_module.Service) -> documents.Demand:
+    return documents.Demand(
+        requests_per_s=answer.requests_per_s,
+        slot_time_s=answer.slot_time_s,
+        open_callers=answer.open_callers,
+        survives_loss=answer.survives_loss,
+    )
+
+
+def _domains(
+    answers: answers_module.Answers, previous: documents.Bundle | None
+) -> dict[str, configuration.FailureDomain]:
+    out = set() if previous is None else set(previous.out_domains())
+    return {
+        domain.name: configuration.FailureDomain(
+            region=domain.region, out=domain.name in out
+        )
+        for domain in answers.failure_domains
+    }
--- /dev/null
+++ b/src/bramleypin/internal/tool/output.py
@@ -0,0 +1,129 @@
+"""Prints results as tables for people or as JSON for programs.
+
+Colour follows the NO_COLOR convention (https://no-color.org), which rich
+implements, and is left out when the output is no terminal.
+"""
+
+import collections.abc
+import json
+import sys
+import time
+import typing
+
+import rich.console
+import rich.progress
+import rich.table
+import rich.text
+
+# A progress bar appears on work that takes longer than this.
+PROGRESS_AFTER_S = 2.0
+# Without a terminal, tables are not squeezed into 80 columns.
+PLAIN_WIDTH = 160
+
+EXIT_CODES = {
+    0: "done",
+    1: "another error, for example an unknown name",
+    2: "the command line, the settings or the answers are wrong",
+    3: "a service of the daemon failed (bramleypind only)",
+    4: "a configuration document is malformed or was edited by hand",
+    5: "refused, because it would break a promise to callers",
+    6: "no daemon answered",
+    7: "some daemons did not answer; what is shown is partial",
+    8: "report burn --check: a service uses up its error budget too fast",
+    130: "interrupted from the terminal",
+}
+EXIT_PARTIAL = 7
+EXIT_BURNING = 8
+
+T = typing.TypeVar("T")
+
+
+def console(stderr: bool = False) -> rich.console.Console:
+    """Return a console on the current standard output or error."""
+    stream = sys.stderr if stderr else sys.stdout
+    width = None if stream.isatty() else PLAIN_WIDTH
+    return rich.console.Console(file=stream, width=width, highlight=False)
+
+
+def line(text: str, style: str = "") -> None:
+    """Print a line as it is, without interpreting brackets as markup."""
+    console().print(rich.text.Text(text, style=style), soft_wrap=True)
+
+
+def note(text: str) -> None:
+    """Print a remark to standard error, beside the result."""
+    styled = rich.text.Text(text, style="yellow")
+    console(stderr=True).print(styled, soft_wrap=True)
+
+
+def error(text: str) -> None:
+    """Print an error to standard error, each line with the program's name."""
+    for part in text.splitlines():
+        styled = rich.text.Text("bramleypin: ", style="bold red")
+        console(stderr=True).print(styled + part, soft_wrap=True)
+
+
+def as_json(value: object) -> None:
+    """Print a value as one JSON document; keys keep their order."""
+    text = json.dumps(value, indent=2, ensure_ascii=False, default=str)
+    sys.stdout.write(text + "\n")
+
+
+def table(
+    columns: collections.abc.Sequence[str],
+    rows: collections.abc.Iterable[collections.abc.Sequence[object]],
+    title: str | None = None,
+) -> None:
+    """Print a table; columns of numbers are aligned right."""
+    content = [[_cell(value) for value in row] for row in rows]
+    result = rich.table.Table(title=title, box=None, title_justify="left")
+    for position, name in enumerate(columns):
+        cells = [row[position] for row in content]
+        right = bool(cells) and all(_is_number(cell) for cell in cells)
+        result.add_column(
+            name, justify="right" if right else "left", overflow="fold"
+        )
+    for row in content:
+        result.add_row(*[rich.text.Text(cell) for cell in row])
+    console().print(result)
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.3g}" if abs(value) < 1000 else f"{value:.0f}"
+    if isinstance(value, list | tuple):
+        return ", ".join(str(item) for item in value)
+    return str(value)
+
+
+def _is_number(text: str) -> bool:
+    digits = text.rstrip("%").replace(".", "", 1).replace("-", "0", 1)
+    return digits.isdigit()
+
+
+def progress(
+    items: collections.abc.Iterable[T], total: int, text: str
+) -> collections.abc.Iterator[T]:
+    """Yield items, and show a bar on standard error when it takes long."""
+    started_s = time.monotonic()
+    bar: rich.progress.Progress | None = None
+    task: typing.Any = None
+    try:
+        for done, item in enumerate(items):
+            late = time.monotonic() - started_s > PROGRESS_AFTER_S
+            if bar is None and late:
+                bar = rich.progress.Progress(
+                    console=console(stderr=True), transient=True
+                )
+                bar.start()
+                task = bar.add_task(text, total=total)
+            if bar is not None:
+                bar.update(task, completed=done)
+            yield item
+    finally:
+        if bar is not None:
+            bar.stop()
