Add status, trace and the report on burn

Cause: operators need to see what daemons do and how fast error budgets go. Change: status, trace and report burn ask daemons over the control protocol; the report follows the multiwindow rule and has an HTML page.

--- a/src/bramleypin/cli.py
+++ b/src/bramleypin/cli.py
@@ -9,8 +9,10 @@
 from bramleypin import errors
 from bramleypin.internal.tool import configuration_commands
 from bramleypin.internal.tool import domain_commands
+from bramleypin.internal.tool import fleet_commands
 from bramleypin.internal.tool import output
 from bramleypin.internal.tool import questionnaire_commands
+from bramleypin.internal.tool import report_commands
 
 
 class _Group(typer.core.TyperGroup):
@@ -35,6 +37,9 @@
 application.add_typer(questionnaire_commands.application, name="questionnaire")
 application.add_typer(configuration_commands.application, name="configuration")
 application.add_typer(domain_commands.application, name="domain")
+application.add_typer(report_commands.application, name="report")
+application.command()(fleet_commands.status)
+application.command()(fleet_commands.trace)
 
 
 def _print_version(wanted: bool) -> None:
--- a/src/bramleypin/internal/observe/outcomes.py
+++ b/src/bramleypin/internal/observe/outcomes.py
@@ -7,10 +7,12 @@
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.wire import frames
 
 BUCKET_S = 60.0
 BUCKETS_KEPT = 360
 OUTCOMES = ("answered", "not_run", "unknown", "invalid")
+SAMPLE_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,11 +20,16 @@
     """Counts of one minute, by service and outcome.
 
     ``slow_by_service`` counts answers over the objective's latency.
+    ``running`` is the sum of ``samples`` counts of the requests at the
+    endpoint, and ``cold_excess`` the most of them over a cold limit.
     """
 
     start_s: float
     count_by_outcome: dict[str, dict[str, int]]
     slow_by_service: dict[str, int]
+    samples: int = 0
+    running: int = 0
+    cold_excess: int = 0
 
 
 @kernel_module.service("outcomes", roles=("balancer", "agent"))
@@ -44,6 +51,24 @@
         """Remember when counting began."""
         self.started_s = anyio.current_time()
 
+    async def run(self) -> None:
+        """Sample how busy the endpoint is; a balancer has none."""
+        await self.kernel.started.wait()
+        admission = self.kernel.service_by_name.get("admission")
+        while admission is not None:
+            self._sample(admission)
+            await anyio.sleep(SAMPLE_INTERVAL_S)
+
+    def _sample(self, admission: typing.Any) -> None:
+        bucket = self._current()
+        bucket.samples += 1
+        bucket.running += admission.running
+        # Requests that ran already when the endpoint turned cold are counted
+        # too, because it has to bear them all the same.
+        if admission.state() is frames.State.COLD:
+            excess = admission.running - admission.limit()
+            bucket.cold_excess = max(bucket.cold_excess, excess)
+
     def record(
         self,
         service: str,
@@ -68,19 +93,25 @@
             before = bucket.slow_by_service.get(service, 0)
             bucket.slow_by_service[service] = before + 1
 
-    def report(self) -> dict[str, typing.Any]:
-        """Return the counts for a burn request, as plain CBOR values.
+    def report(
+        self, since_s: float = BUCKET_S * BUCKETS_KEPT
+    ) -> dict[str, typing.Any]:
+        """Return the counts of the last ``since_s`` seconds as CBOR values.
 
         Times are ages in seconds, because the clocks of two machines cannot
-        be compared. ``counts`` are in the order of ``OUTCOMES`` with the
-        slow answers, which ``answered`` includes, at the end.
+        be compared. Each minute of a service is ``[age, counts]``, with the
+        counts in the order of ``OUTCOMES`` and at the end the slow answers,
+        which ``answered`` includes. Each minute of an endpoint is ``[age,
+        mean of requests running, cold excess]``.
         """
         now = anyio.current_time()
+        recent = [
+            (now - bucket.start_s, bucket)
+            for bucket in self.buckets
+            if now - bucket.start_s < since_s
+        ]
         services: dict[str, dict[str, typing.Any]] = {}
-        for bucket in self.buckets:
-            age_s = now - bucket.start_s
-            if age_s >= BUCKET_S * BUCKETS_KEPT:
-                continue
+        for age_s, bucket in recent:
             for name, counts in bucket.count_by_outcome.items():
                 entry = services.setdefault(
                     name, {"objective": self._objective(name), "minutes": []}
@@ -94,6 +125,30 @@
             "failure_domain": self.kernel.settings.failure_domain,
             "covered_s": now - self.started_s,
             "services": services,
+            "endpoint": self._endpoint(recent),
+        }
+
+    def _endpoint(
+        self, recent: list[tuple[float, Bucket]]
+    ) -> dict[str, typing.Any] | None:
+        settings = self.kernel.settings.endpoint
+        if settings is None:
+            return None
+        store = self.kernel.service_by_name.get("view")
+        service = (
+            None if store is None else store.view.service(settings.service)
+        )
+        found = None if service is None else service.endpoint(settings.id)
+        return {
+            "service": settings.service,
+            "id": settings.id,
+            "slots": 0 if found is None else found.slots,
+            "weight": 0.0 if found is None else found.weight,
+            "minutes": [
+                [age_s, bucket.running / bucket.samples, bucket.cold_excess]
+                for age_s, bucket in recent
+                if bucket.samples
+            ],
         }
 
     def _objective(self, service: str) -> tuple[float, float] | None:
--- a/src/bramleypin/internal/observe/trace.py
+++ b/src/bramleypin/internal/observe/trace.py
@@ -43,7 +43,9 @@
         """Return the entries whose flow contains a text, oldest first."""
         return [entry for entry in self.entries if text in entry.flow]
 
-    def report(self, text: str) -> list[dict[str, typing.Any]]:
+    def report(
+        self, text: str, limit: int = REPORT_ENTRIES
+    ) -> list[dict[str, typing.Any]]:
         """Return the latest matching entries as plain CBOR values.
 
         ``age_s`` counts back from now, because the clocks of two machines
@@ -58,5 +60,5 @@
                 "reason": entry.reason,
                 "revision": entry.revision,
             }
-            for entry in self.find(text)[-REPORT_ENTRIES:]
+            for entry in self.find(text)[-max(1, min(limit, REPORT_ENTRIES)) :]
         ]
--- /dev/null
+++ b/src/bramleypin/internal/tool/burn.py
@@ -0,0 +1,282 @@
+"""How fast services use up their error budgets.
+
+The burn rate is the share of bad requests divided by the share that the
+objective allows to be bad. The alarms follow the multiwindow, multi-burn-rate
+rule of The Site Reliability Workbook, chapter 5 ("Alerting on SLOs"): a long
+window shows that much budget is gone, and a short one, a twelfth of it, that
+it is still being used up.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+MINUTE_S = 60.0
+WINDOWS: dict[str, float] = {
+    "5 min": 300.0,
+    "30 min": 1_800.0,
+    "1 h": 3_600.0,
+    "6 h": 21_600.0,
+}
+LONGEST_S = max(WINDOWS.values())
+
+# The series of the plot is smoothed over this many minutes.
+SMOOTHED_MINUTES = 5
+
+Answer = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Rule:
+    """An alarm: both windows burn at least this fast."""
+
+    level: str
+    long: str
+    short: str
+    burn: float
+
+
+# At 14.4, 2% of a 30-day budget is gone after 1 h; at 6, 5% after 6 h. These
+# are the workbook's. Its third rule (1 over 3 days and 6 h) opens a ticket;
+# VMs keep no more than 6 h, so the longest window that there is stands in.
+RULES = (
+    Rule("page", "1 h", "5 min", 14.4),
+    Rule("page", "6 h", "30 min", 6.0),
+    Rule("warn", "6 h", "30 min", 1.0),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Window:
+    """The requests of one service in one window.
+
+    ``burn`` is ``None`` without requests. ``covered`` is the share of the
+    window that the daemons' counts cover.
+    """
+
+    total: int
+    bad: int
+    burn: float | None
+    covered: float
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceBurn:
+    """The burn of one service; ``series`` has one entry a minute, newest last.
+
+    ``alarms`` holds the level and the sentence of each rule that applies.
+    """
+
+    service: str
+    success: float | None
+    max_latency_s: float | None
+    window_by_name: dict[str, Window]
+    alarms: list[tuple[str, str]]
+    series: list[float | None]
+
+    @property
+    def level(self) -> str:
+        """The highest level of the alarms: page, warn or ok."""
+        levels = [level for level, _ in self.alarms]
+        for name in ("page", "warn"):
+            if name in levels:
+                return name
+        return "ok"
+
+
+@dataclasses.dataclass
+class _Counts:
+    total: int = 0
+    bad: int = 0
+
+    def add(self, row: list[int]) -> None:
+        """Add a minute; invalid requests are the caller's mistakes."""
+        answered, not_run, unknown, _invalid, slow = row
+        self.total += answered + not_run + unknown
+        self.bad += not_run + unknown + slow
+
+
+def services(
+    answers: collections.abc.Sequence[Answer], silent: int
+) -> list[ServiceBurn]:
+    """Return the burn of each service that any daemon counted.
+
+    ``silent`` is the number of daemons that were asked and did not answer;
+    their counts are missing in every window.
+    """
+    names = {name for answer in answers for name in answer["services"]}
+    names |= {
+        answer["endpoint"]["service"]
+        for answer in answers
+        if answer["endpoint"] is not None
+    }
+    return [_service(name, answers, silent) for name in sorted(names)]
+
+
+def _service(
+    name: str, answers: collections.abc.Sequence[Answer], silent: int
+) -> ServiceBurn:
+    minutes = [
+        (age_s, row)
+        for answer in answers
+        for age_s, row in answer["services"].get(name, _EMPTY)["minutes"]
+    ]
+    objective = _objective(name, answers)
+    allowed = None if objective is None else 1.0 - objective[0]
+    ages = _covered_ages(name, answers)
+    window_by_name = {}
+    for window, length_s in WINDOWS.items():
+        counts = _Counts()
+        for age_s, row in minutes:
+            # A minute belongs to the window that holds its middle.
+            if age_s - MINUTE_S / 2 < length_s:
+                counts.add(row)
+        window_by_name[window] = Window(
+            counts.total,
+            counts.bad,
+            _burn(counts, allowed),
+            _covered(ages, silent, length_s),
+        )
+    return ServiceBurn(
+        service=name,
+        success=None if objective is None else objective[0],
+        max_latency_s=None if objective is None else objective[1],
+        window_by_name=window_by_name,
+        alarms=_alarms(window_by_name),
+        series=_series(minutes, allowed),
+    )
+
+
+_EMPTY: Answer = {"objective": None, "minutes": []}
+
+
+def _objective(
+    name: str, answers: collections.abc.Sequence[Answer]
+) -> tuple[float, float] | None:
+    for answer in answers:
+        objective = answer["services"].get(name, _EMPTY)["objective"]
+        if objective is not None:
+            return objective[0], objective[1]
+    return None
+
+
+def _burn(counts: _Counts, allowed: float | None) -> float | None:
+    if not counts.total or not allowed:
+        return None
+    return counts.bad / counts.total / allowed
+
+
+def _covered_ages(
+    name: str, answers: collections.abc.Sequence[Answer]
+) -> list[float]:
+    """Return since when each daemon with counts of a service has counted."""
+    return [
+        answer["covered_s"]
+        for answer in answers
+        if name in answer["services"]
+        or (answer["endpoint"] or {}).get("service") == name
+    ]
+
+
+def _covered(ages: list[float], silent: int, length_s: float) -> float:
+    shares = [min(1.0, age_s / length_s) for age_s in ages]
+    count = len(shares) + silent
+    return sum(shares) / count if count else 0.0
+
+
+def _alarms(window_by_name: dict[str, Window]) -> list[tuple[str, str]]:
+    alarms = []
+    for rule in RULES:
+        long = window_by_name[rule.long].burn
+        short = window_by_name[rule.short].burn
+        if long is None or short is None:
+            continue
+        if long >= rule.burn and short >= rule.burn:
+            text = (
+                f"burns at {long:.1f} over {rule.long} and at {short:.1f} "
+                f"over {rule.short}; the limit is {rule.burn:g} in both"
+            )
+            alarms.append((rule.level, text))
+    return alarms
+
+
+def _series(
+    minutes: list[tuple[float, list[int]]], allowed: float | None
+) -> list[float | None]:
+    count = int(LONGEST_S / MINUTE_S)
+    slots = [_Counts() for _ in range(count)]
+    for age_s, row in minutes:
+        slot = int(max(0.0, age_s - MINUTE_S / 2) / MINUTE_S)
+        if slot < count:
+            slots[slot].add(row)
+    result = []
+    for slot in range(count):
+        near = slots[slot : slot + SMOOTHED_MINUTES]
+        total = _Counts(
+            sum(item.total for item in near), sum(item.bad for item in near)
+        )
+        result.append(_burn(total, allowed))
+    return list(reversed(result))
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointUse:
+    """How busy an endpoint was; ``series`` has one entry a minute.
+
+    ``utilisation`` is the mean share of slots in use over 5 min. ``share``
+    is the number of requests over 1 h for each unit of weight.
+    """
+
+    service: str
+    id: str
+    failure_domain: str
+    slots: int
+    utilisation: float | None
+    share: float | None
+    cold_excess: int
+    series: list[float | None]
+
+
+def endpoints(
+    answers: collections.abc.Sequence[Answer],
+) -> list[EndpointUse]:
+    """Return how busy the endpoints were, by service and id."""
+    found = [
+        _endpoint(answer)
+        for answer in answers
+        if answer["endpoint"] is not None
+    ]
+    return sorted(found, key=lambda item: (item.service, item.id))
+
+
+def _endpoint(answer: Answer) -> EndpointUse:
+    entry = answer["endpoint"]
+    count = int(LONGEST_S / MINUTE_S)
+    series: list[float | None] = [None] * count
+    for age_s, running, _ in entry["minutes"]:
+        slot = int(max(0.0, age_s - MINUTE_S / 2) / MINUTE_S)
+        if slot < count and entry["slots"]:
+            series[count - 1 - slot] = running / entry["slots"]
+    rows = answer["services"].get(entry["service"], _EMPTY)["minutes"]
+    answered = sum(row[0] for age_s, row in rows if age_s < WINDOWS["1 h"])
+    recent = [item for item in series[-5:] if item is not None]
+    return EndpointUse(
+        service=entry["service"],
+        id=entry["id"],
+        failure_domain=answer["failure_domain"],
+        slots=entry["slots"],
+        utilisation=sum(recent) / len(recent) if recent else None,
+        share=answered / entry["weight"] if entry["weight"] else None,
+        cold_excess=max((row[2] for row in entry["minutes"]), default=0),
+        series=series,
+    )
+
+
+def imbalance(uses: collections.abc.Iterable[EndpointUse]) -> float | None:
+    """Return highest over mean utilisation of one service's endpoints.
+
+    1 is perfect; ``None`` when nothing ran.
+    """
+    values = [use.utilisation for use in uses if use.utilisation is not None]
+    mean = sum(values) / len(values) if values else 0.0
+    return max(values) / mean if mean else None
--- /dev/null
+++ b/src/bramleypin/internal/tool/burn_page.py
@@ -0,0 +1,221 @@
+"""The report on service-level burn as one self-contained HTML page."""
+
+import collections.abc
+import dataclasses
+import html
+
+from bramleypin.internal.tool import burn
+from bramleypin.internal.tool import promises
+from bramleypin.internal.tool import svg
+
+_STYLE = """
+:root{--ink:#1d2733;--soft:#5b6876;--line:#dfe4ea;--paper:#fff;--back:#f4f6f8;
+--curve:#2563a8;--ok:#1f7a4d;--warn:#b26a00;--page:#b3261e;--track:#e6ebf0}
+@media (prefers-color-scheme:dark){:root{--ink:#e6ebf0;--soft:#9aa7b4;
+--line:#33404d;--paper:#1b232c;--back:#12181f;--curve:#6fb1f2;--ok:#5cc48f;
+--warn:#f0ad4e;--page:#ff8a80;--track:#2b3742}}
+*{box-sizing:border-box}
+body{margin:0;background:var(--back);color:var(--ink);
+font:16px/1.5 system-ui,"Segoe UI","DejaVu Sans",sans-serif}
+main{max-width:860px;margin:0 auto;padding:28px 20px 48px}
+h1{font-size:26px;margin:0}h2{font-size:19px;margin:0}
+h3{font-size:15px;margin:22px 0 6px;color:var(--soft);font-weight:600}
+p{margin:6px 0}.soft{color:var(--soft)}
+section{background:var(--paper);border:1px solid var(--line);
+border-radius:10px;padding:20px 22px;margin-top:20px}
+.head{display:flex;gap:12px;align-items:baseline;flex-wrap:wrap}
+.badge{border:1px solid;border-radius:99px;padding:1px 10px;font-size:13px;
+font-weight:600}.ok{color:var(--ok)}.warn{color:var(--warn)}
+.page{color:var(--page)}.verdict{font-size:18px;margin-top:10px}
+table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}
+th{text-align:left;font-size:13px;color:var(--soft);font-weight:600}
+th,td{padding:5px 12px 5px 0;border-bottom:1px solid var(--line);
+vertical-align:top}tr:last-child td{border-bottom:0}
+td.n,th.n{text-align:right}svg{width:100%;height:auto;display:block}
+svg.spark{width:200px;height:22px}svg.bar{width:190px;height:14px}
+.grid{stroke:var(--line)}.axis{fill:var(--soft);color:var(--soft);
+font-size:11px}.curve{fill:none;stroke:var(--curve);stroke-width:2;
+stroke-linejoin:round}.thin{stroke-width:1.5}.limit{stroke-dasharray:5 4}
+.limit.page{stroke:var(--page)}.limit.warn{stroke:var(--warn)}
+.label{font-size:11px}.label.page{fill:var(--page)}
+.label.warn{fill:var(--warn)}.track{fill:var(--track)}
+.fill{fill:var(--curve)}.fill.high{fill:var(--warn)}
+.scroll{overflow-x:auto}
+"""
+
+_WORD_BY_LEVEL = {"ok": "within budget", "warn": "warning", "page": "act now"}
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """Everything that the report shows; ``made_at`` is a text for people."""
+
+    made_at: str
+    services: list[burn.ServiceBurn]
+    endpoints: list[burn.EndpointUse]
+    figures: list[promises.Figure]
+    answered: int
+    silent: list[str]
+
+    @property
+    def level(self) -> str:
+        """The highest level of all services."""
+        levels = [service.level for service in self.services]
+        for name in ("page", "warn"):
+            if name in levels:
+                return name
+        return "ok"
+
+    def verdict(self) -> str:
+        """Return the result as one sentence."""
+        for level, words in (
+            (
+                "page",
+                "using up the error budget so fast that somebody must "
+                "act now",
+            ),
+            ("warn", "using up the error budget too fast"),
+        ):
+            names = [s.service for s in self.services if s.level == level]
+            if names:
+                verb = "is" if len(names) == 1 else "are"
+                return f"{' and '.join(names)} {verb} {words}."
+        if not self.services:
+            return "No daemon has counted any request yet."
+        return "All services are within their error budgets."
+
+
+def render(report: Report) -> str:
+    """Return the page; it loads nothing from elsewhere."""
+    sections = [_service(item, report) for item in report.services]
+    return (
+        '<!doctype html>\n<html lang="en"><head><meta charset="utf-8">'
+        '<meta name="viewport" content="width=device-width">'
+        f"<title>Error budgets: {html.escape(report.verdict())}</title>"
+        f"<style>{_STYLE}</style></head><body><main>"
+        f"<h1>Error budgets of the last 6 hours</h1>"
+        f'<p class="verdict {report.level}">{html.escape(report.verdict())}'
+        f"</p>{_source(report)}{''.join(sections)}{_promises(report)}"
+        f"{_reading()}</main></body></html>\n"
+    )
+
+
+def _source(report: Report) -> str:
+    text = f"{report.made_at}. {report.answered} daemons answered."
+    if report.silent:
+        names = ", ".join(html.escape(name) for name in report.silent)
+        text += (
+            f" {len(report.silent)} did not, so their counts are missing: "
+            f"{names}."
+        )
+    return f'<p class="soft">{text}</p>'
+
+
+def _service(item: burn.ServiceBurn, report: Report) -> str:
+    uses = [use for use in report.endpoints if use.service == item.service]
+    alarms = "".join(
+        f'<p class="{level}">{_WORD_BY_LEVEL[level]}: {html.escape(text)}</p>'
+        for level, text in item.alarms
+    )
+    lines = [
+        svg.Line(1.0, "1: budget lasts exactly 30 days", "warn"),
+        svg.Line(6.0, "6: pages after 6 h", "page"),
+        svg.Line(14.4, "14.4: pages after 1 h", "page"),
+    ]
+    label = f"Burn rate of {item.service} over the last 6 hours"
+    return (
+        f'<section><div class="head"><h2>{html.escape(item.service)}</h2>'
+        f'<span class="badge {item.level}">{_WORD_BY_LEVEL[item.level]}'
+        f"</span></div>{_objective(item)}{alarms}"
+        "<h3>Burn rate, 5 minutes at a time</h3>"
+        f"{svg.time_series(item.series, label, lines)}"
+        f"{_windows(item)}{_endpoints(uses)}</section>"
+    )
+
+
+def _objective(item: burn.ServiceBurn) -> str:
+    if item.success is None:
+        return '<p class="soft">No daemon knows the objective.</p>'
+    return (
+        f'<p class="soft">{item.success:.4%} of requests must be answered '
+        f"within {item.max_latency_s:g} s.</p>".replace(".0000%", "%")
+    )
+
+
+def _windows(item: burn.ServiceBurn) -> str:
+    rows = "".join(
+        f'<tr><td>{name}</td><td class="n">{rate(window.burn)}</td>'
+        f'<td class="n">{window.bad:,}</td>'
+        f'<td class="n">{window.total:,}</td>'
+        f'<td class="n">{window.covered:.0%}</td></tr>'
+        for name, window in item.window_by_name.items()
+    )
+    return (
+        "<h3>Windows</h3><table><tr><th>last</th>"
+        '<th class="n">burn rate</th><th class="n">bad requests</th>'
+        '<th class="n">requests</th><th class="n">window covered</th></tr>'
+        f"{rows}</table>"
+    )
+
+
+def rate(value: float | None) -> str:
+    """Return a burn rate as text."""
+    return "no requests" if value is None else f"{value:.2f}"
+
+
+def _endpoints(uses: collections.abc.Sequence[burn.EndpointUse]) -> str:
+    if not uses:
+        return ""
+    rows = "".join(
+        f"<tr><td>{html.escape(use.id)}</td>"
+        f"<td>{html.escape(use.failure_domain)}</td>"
+        f"<td>{svg.bar(use.utilisation)}</td>"
+        f"<td>{svg.spark(use.series)}</td></tr>"
+        for use in uses
+    )
+    return (
+        '<h3>How busy the endpoints are</h3><div class="scroll"><table><tr>'
+        "<th>endpoint</th><th>failure domain</th>"
+        "<th>slots in use, last 5 min</th><th>last 6 h</th></tr>"
+        f"{rows}</table></div>"
+    )
+
+
+def _promises(report: Report) -> str:
+    rows = []
+    for figure in report.figures:
+        style = {True: "ok", False: "page", None: ""}[figure.good]
+        rows.append(
+            f"<tr><td>{html.escape(figure.name)}<br>"
+            f'<span class="soft">{html.escape(figure.meaning)}</span></td>'
+            f'<td class="n {style}">{amount(figure.value)}</td>'
+            f"<td>{html.escape(figure.wanted)}</td></tr>"
+        )
+    return (
+        "<section><h2>Promises to callers</h2>"
+        '<p class="soft">Counted since each daemon started.</p><table><tr>'
+        '<th>figure</th><th class="n">measured</th><th>should be</th></tr>'
+        f"{''.join(rows)}</table></section>"
+    )
+
+
+def amount(value: float | None) -> str:
+    """Return a figure as text; whole numbers have no decimals."""
+    if value is None:
+        return "not counted"
+    return f"{value:,.0f}" if value == int(value) else f"{value:.3f}"
+
+
+def _reading() -> str:
+    return (
+        "<section><h2>How to read this</h2><p>A burn rate of 1 uses up "
+        "exactly the whole error budget in 30 days; 14.4 uses up 2% of it in "
+        "an hour. A request is bad when its answer came late, when it was "
+        "not run, or when its outcome is unknown; mistakes of the caller do "
+        "not count. An alarm needs a long window, which shows that much is "
+        "gone, and a short one, which shows that it goes on (The Site "
+        "Reliability Workbook, chapter 5).</p><p>VMs keep nothing: a daemon "
+        "that was restarted has forgotten its counts. &ldquo;Window "
+        "covered&rdquo; says what share of the window the counts cover.</p>"
+        "</section>"
+    )
--- /dev/null
+++ b/src/bramleypin/internal/tool/fleet.py
@@ -0,0 +1,147 @@
+"""Asks running daemons over the control protocol."""
+
+import collections.abc
+import dataclasses
+import pathlib
+import typing
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.membership import secure_link
+from bramleypin.internal.model import vms
+from bramleypin.internal.net import control as control_network
+from bramleypin.internal.net import environment
+from bramleypin.internal.net import platform
+from bramleypin import settings as settings_module
+
+# Enough to ask 1,500 daemons in a few round trips without a burst of links.
+ASKED_AT_ONCE = 64
+TIMEOUT_S = 5.0
+
+AskOne = typing.Callable[
+    [address.Address, typing.Any], typing.Awaitable[typing.Any]
+]
+Tell = typing.Callable[[], None]
+
+
+@dataclasses.dataclass
+class Answers:
+    """What daemons answered, and why the others did not."""
+
+    answer_by_peer: dict[address.Address, typing.Any]
+    fault_by_peer: dict[address.Address, str]
+
+    def require_any(self) -> None:
+        """Refuse to show nothing at all.
+
+        :raises errors.FleetSilent: when no daemon has answered.
+        """
+        if not self.answer_by_peer:
+            faults = {
+                str(peer): text for peer, text in self.fault_by_peer.items()
+            }
+            raise errors.FleetSilent(faults)
+
+
+async def ask_all(
+    ask_one: AskOne,
+    peers: collections.abc.Iterable[address.Address],
+    message: typing.Any,
+    tell: Tell = lambda: None,
+) -> Answers:
+    """Ask all daemons at the same time; ``tell`` is called after each."""
+    result = Answers({}, {})
+    limiter = anyio.CapacityLimiter(ASKED_AT_ONCE)
+
+    async def ask(peer: address.Address) -> None:
+        async with limiter:
+            try:
+                answer = await ask_one(peer, message)
+                result.answer_by_peer[peer] = answer
+            except errors.BramleypinError as error:
+                result.fault_by_peer[peer] = _why(error)
+        tell()
+
+    async with anyio.create_task_group() as tasks:
+        for peer in peers:
+            tasks.start_soon(ask, peer)
+    result.answer_by_peer = dict(sorted(result.answer_by_peer.items()))
+    result.fault_by_peer = dict(sorted(result.fault_by_peer.items()))
+    return result
+
+
+def _why(error: errors.BramleypinError) -> str:
+    if isinstance(error, errors.AuthenticationFailed):
+        return f"{error}; use a settings file with the daemons' key"
+    return str(error) or type(error).__name__
+
+
+def network() -> environment.ControlNetwork:
+    """Return the network over which daemons are asked."""
+    return control_network.WebsocketNetwork()
+
+
+def asker(settings: settings_module.Settings) -> AskOne:
+    """Return a function that asks one daemon, with the settings' keys."""
+    links = network()
+
+    async def ask_one(peer: address.Address, message: typing.Any) -> object:
+        return await secure_link.ask(
+            links, peer, settings.key_bytes, message, TIMEOUT_S
+        )
+
+    return ask_one
+
+
+async def peers(
+    settings: settings_module.Settings,
+    named: collections.abc.Sequence[str],
+    vm_file: pathlib.Path | None,
+) -> list[address.Address]:
+    """Return whom to ask: the named, a file's, or the platform's VMs.
+
+    :raises errors.InvalidSettings: when an address or the file is wrong.
+    :raises errors.PlatformUnavailable: when the platform is needed and down.
+    """
+    if named:
+        return [_peer(text) for text in named]
+    if vm_file is not None:
+        try:
+            data = vm_file.read_bytes()
+        except OSError as error:
+            raise errors.InvalidSettings(
+                str(vm_file), "(file)", error.strerror, "name the VM list"
+            ) from error
+        return _controls(vms.decode(data))
+    source = platform.connect(settings.platform)
+    try:
+        prefix = settings.platform.prefix
+        document = vms.decode((await source.read(f"{prefix}/vms")).value)
+        found = _controls(document)
+        for part in document.version_by_part:
+            value = await source.read(f"{prefix}/vms/{part}")
+            found.extend(_controls(vms.decode(value.value)))
+    except (errors.PlatformUnavailable, errors.PlatformKeyMissing) as error:
+        raise errors.PlatformUnavailable(
+            f"{error}; name the daemons with --peer HOST:PORT or --vms FILE"
+        ) from error
+    return found
+
+
+def _controls(document: vms.VmList) -> list[address.Address]:
+    return [vm.control_address for vm in document.vms]
+
+
+def _peer(text: str) -> address.Address:
+    try:
+        return address.parse(text)
+    except errors.InvalidFrame:
+        raise errors.InvalidSettings(
+            "command line",
+            "--peer",
+            text,
+            "write the control address of a daemon, for example "
+            "127.10.1.1:7001",
+        ) from None
--- /dev/null
+++ b/src/bramleypin/internal/tool/fleet_commands.py
@@ -0,0 +1,179 @@
+"""The commands ``bramleypin status`` and ``bramleypin trace``."""
+
+import collections.abc
+import pathlib
+import time
+import typing
+
+import typer
+
+from bramleypin.internal.tool import fleet
+from bramleypin.internal.tool import fleet_options
+from bramleypin.internal.tool import output
+from bramleypin.internal.wire import control
+
+WATCH_INTERVAL_S = 2.0
+TRACE_ENTRIES = 256
+
+Row = list[typing.Any]
+
+STATUS_COLUMNS = (
+    "daemon",
+    "role",
+    "failure domain",
+    "revision",
+    "state",
+    "flows",
+    "running",
+    "limit",
+    "up",
+    "version",
+)
+
+
+def status(
+    settings: fleet_options.Settings,
+    peer: fleet_options.Peers = None,
+    vms: fleet_options.Vms = None,
+    json: fleet_options.Json = False,
+    watch: typing.Annotated[
+        bool, typer.Option("--watch", help="Repeat every 2 s until Ctrl-C.")
+    ] = False,
+) -> None:
+    """Show what running daemons say about themselves.
+
+    Example: bramleypin status --settings entry-1.toml --peer 127.10.1.1:7001
+    """
+    while True:
+        answers = _status(settings, peer, vms)
+        if watch and not json:
+            output.clear()
+        _print_status(answers, json)
+        if not watch:
+            fleet_options.report_faults(answers)
+            return
+        time.sleep(WATCH_INTERVAL_S)
+
+
+def _status(
+    settings: pathlib.Path, peers: list[str] | None, vms: pathlib.Path | None
+) -> fleet.Answers:
+    request = control.StatusRequest()
+    (answers,) = fleet_options.ask(settings, peers, vms, [request])
+    return answers
+
+
+def _print_status(answers: fleet.Answers, json: bool) -> None:
+    sections = [item.sections for item in answers.answer_by_peer.values()]
+    if json:
+        output.as_json(
+            {
+                "daemons": sections,
+                "silent": _by_text(answers.fault_by_peer),
+            }
+        )
+        return
+    sections.sort(key=lambda item: (item["role"], item["id"]))
+    output.table(STATUS_COLUMNS, [_row(item) for item in sections])
+    for text in remarks(sections):
+        output.note(text)
+
+
+def _by_text(value_by_peer: dict) -> dict[str, str]:
+    return {str(peer): value for peer, value in value_by_peer.items()}
+
+
+def _row(sections: dict[str, typing.Any]) -> Row:
+    flows = sections.get("flows", {})
+    return [
+        sections["id"],
+        sections["role"],
+        sections["failure_domain"],
+        sections["revision"],
+        flows.get("state", _balancer_state(sections)),
+        flows.get("held"),
+        flows.get("running"),
+        flows.get("limit"),
+        duration(sections["uptime_s"]),
+        sections["version"],
+    ]
+
+
+def _balancer_state(sections: dict[str, typing.Any]) -> str | None:
+    valid = sections.get("lease", {}).get("valid")
+    if valid is None:
+        return None
+    return "confirmed" if valid else "view not confirmed"
+
+
+def duration(seconds: float) -> str:
+    """Return a time span as people write it."""
+    for unit, length_s in (("d", 86_400), ("h", 3_600), ("min", 60)):
+        if seconds >= 2 * length_s:
+            return f"{seconds / length_s:.0f} {unit}"
+    return f"{seconds:.0f} s"
+
+
+def remarks(
+    sections: collections.abc.Sequence[dict[str, typing.Any]],
+) -> list[str]:
+    """Return what an operator should look at."""
+    newest = max(item["revision"] for item in sections)
+    behind = [item["id"] for item in sections if item["revision"] < newest]
+    result = []
+    if behind:
+        result.append(
+            f"behind revision {newest}: {', '.join(behind)}; look again in "
+            "5 s, then see docs/operations.md, 'a daemon stays behind'"
+        )
+    unconfirmed = [
+        item["id"]
+        for item in sections
+        if item.get("lease", {}).get("valid") is False
+    ]
+    if unconfirmed:
+        result.append(
+            f"forwards nothing until its view is confirmed: "
+            f"{', '.join(unconfirmed)}"
+        )
+    versions = sorted({item["version"] for item in sections})
+    if len(versions) > 1:
+        result.append(f"mixed versions: {', '.join(versions)}")
+    return result
+
+
+def trace(
+    text: typing.Annotated[
+        str,
+        typer.Argument(help="A part of a flow's name, such as 10.0.0.9:4711."),
+    ],
+    settings: fleet_options.Settings,
+    peer: fleet_options.Peers = None,
+    vms: fleet_options.Vms = None,
+    json: fleet_options.Json = False,
+) -> None:
+    """Show why a flow or request went where it went.
+
+    Daemons keep their latest decisions only, and lose them on a restart.
+
+    Example: bramleypin trace 10.0.0.9 --settings entry-1.toml
+    --peer 127.10.1.1:7001 --peer 127.10.1.11:7001
+    """
+    request = control.TraceRequest(text, TRACE_ENTRIES)
+    (answers,) = fleet_options.ask(settings, peer, vms, [request])
+    entries = [
+        {"daemon": str(peer), **entry}
+        for peer, answer in answers.answer_by_peer.items()
+        for entry in answer.entries
+    ]
+    entries.sort(key=lambda entry: -entry["age_s"])
+    if json:
+        output.as_json(entries)
+    elif entries:
+        columns = ("age_s", "daemon", "flow", "decision", "reason", "revision")
+        titles = ("seconds ago", *columns[1:])
+        rows = [[entry[name] for name in columns] for entry in entries]
+        output.table(titles, rows)
+    else:
+        output.line(f"no daemon has kept a decision on {text!r}")
+    fleet_options.report_faults(answers)
--- /dev/null
+++ b/src/bramleypin/internal/tool/fleet_options.py
@@ -0,0 +1,79 @@
+"""Options of the commands that ask running daemons, and how they ask."""
+
+import collections.abc
+import pathlib
+import typing
+
+import anyio
+import typer
+
+from bramleypin import errors
+from bramleypin.internal.tool import fleet
+from bramleypin.internal.tool import output
+from bramleypin import settings as settings_module
+
+Settings = typing.Annotated[
+    pathlib.Path,
+    typer.Option(
+        "--settings",
+        help="Settings file of any daemon, for the key and the platform.",
+    ),
+]
+Peers = typing.Annotated[
+    list[str] | None,
+    typer.Option(
+        "--peer",
+        metavar="HOST:PORT",
+        help="Control address of a daemon to ask; may be repeated. Without "
+        "it, all VMs in the platform's list are asked.",
+    ),
+]
+Vms = typing.Annotated[
+    pathlib.Path | None,
+    typer.Option("--vms", help="File with the VM list (CBOR) to ask."),
+]
+Json = typing.Annotated[
+    bool, typer.Option("--json", help="Print JSON instead of a table.")
+]
+
+
+def ask(
+    settings: pathlib.Path,
+    peers: list[str] | None,
+    vm_file: pathlib.Path | None,
+    messages: collections.abc.Sequence[typing.Any],
+) -> list[fleet.Answers]:
+    """Ask daemons each of the messages, with a progress bar if it is slow.
+
+    :raises errors.FleetSilent: when no daemon has answered.
+    """
+    loaded = settings_module.load(settings)
+
+    async def run() -> list[fleet.Answers]:
+        named = await fleet.peers(loaded, peers or [], vm_file)
+        if not named:
+            raise errors.FleetSilent({"VM list": "names no daemon"})
+        ask_one = fleet.asker(loaded)
+        total = len(named) * len(messages)
+        with output.Bar(total, "asking daemons") as bar:
+            return [
+                await fleet.ask_all(ask_one, named, message, bar.advance)
+                for message in messages
+            ]
+
+    results = anyio.run(run)
+    for result in results:
+        result.require_any()
+    return results
+
+
+def report_faults(answers: fleet.Answers) -> None:
+    """Say which daemons did not answer, and end with the code for it."""
+    for peer, text in answers.fault_by_peer.items():
+        output.note(f"{peer}: {text}")
+    if answers.fault_by_peer:
+        output.note(
+            f"{len(answers.fault_by_peer)} daemons did not answer; what is "
+            "shown is partial"
+        )
+        raise typer.Exit(output.EXIT_PARTIAL)
--- a/src/bramleypin/internal/tool/output.py
+++ b/src/bramleypin/internal/tool/output.py
@@ -63,6 +63,11 @@
         console(stderr=True).print(styled + part, soft_wrap=True)
 
 
+def clear() -> None:
+    """Clear the screen when the output is a terminal."""
+    console().clear()
+
+
 def as_json(value: object) -> None:
     """Print a value as one JSON document; keys keep their order."""
     text = json.dumps(value, indent=2, ensure_ascii=False, default=str)
@@ -105,25 +110,43 @@
     return digits.isdigit()
 
 
+class Bar:
+    """A progress bar on standard error, for work that takes long."""
+
+    def __init__(self, total: int, text: str):
+        self._total = total
+        self._text = text
+        self._done = 0
+        self._started_s = time.monotonic()
+        self._bar: rich.progress.Progress | None = None
+        self._task: typing.Any = None
+
+    def __enter__(self) -> "Bar":
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        if self._bar is not None:
+            self._bar.stop()
+
+    def advance(self) -> None:
+        """Count one step, and show the bar once the work takes long."""
+        self._done += 1
+        late = time.monotonic() - self._started_s > PROGRESS_AFTER_S
+        if self._bar is None and late:
+            self._bar = rich.progress.Progress(
+                console=console(stderr=True), transient=True
+            )
+            self._bar.start()
+            self._task = self._bar.add_task(self._text, total=self._total)
+        if self._bar is not None:
+            self._bar.update(self._task, completed=self._done)
+
+
 def progress(
     items: collections.abc.Iterable[T], total: int, text: str
 ) -> collections.abc.Iterator[T]:
-    """Yield items, and show a bar on standard error when it takes long."""
-    started_s = time.monotonic()
-    bar: rich.progress.Progress | None = None
-    task: typing.Any = None
-    try:
-        for done, item in enumerate(items):
-            late = time.monotonic() - started_s > PROGRESS_AFTER_S
-            if bar is None and late:
-                bar = rich.progress.Progress(
-                    console=console(stderr=True), transient=True
-                )
-                bar.start()
-                task = bar.add_task(text, total=total)
-            if bar is not None:
-                bar.update(task, completed=done)
+    """Yield items under a progress bar."""
+    with Bar(total, text) as bar:
+        for item in items:
             yield item
-    finally:
-        if bar is not None:
-            bar.stop()
+            bar.advance()
--- /dev/null
+++ b/src/bramleypin/internal/tool/promises.py
@@ -0,0 +1,116 @@
+"""The promises to callers, measured by what the daemons counted."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from bramleypin.internal.tool import burn
+
+Answer = dict[str, typing.Any]
+
+# Counters of each figure; every name is declared in the daemons' code.
+FLOWS_BROKEN = (
+    "agent.dropped.stale_incarnation",
+    "agent.answers.unconfirmed",
+    "balancer.dropped.silent",
+    "balancer.dropped.no_candidates",
+)
+INTO_DOMAIN_OUT = ("agent.dropped.domain_out",)
+WRONG_SERVICE = ("agent.dropped.wrong_service",)
+
+# Utilisation differs by chance when little runs.
+IMBALANCE_LIMIT = 1.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Figure:
+    """One measured figure, with what it should be.
+
+    ``good`` is ``None`` for a figure that is only to be watched.
+    """
+
+    name: str
+    value: float | None
+    wanted: str
+    good: bool | None
+    meaning: str
+
+
+def figures(
+    statuses: collections.abc.Sequence[Answer],
+    uses: collections.abc.Sequence[burn.EndpointUse],
+) -> list[Figure]:
+    """Return the figures of the whole fleet since its daemons started."""
+    count_by_name: dict[str, float] = {}
+    for status in statuses:
+        counts = status.get("metrics", {}).get("counts", {})
+        for name, value in counts.items():
+            count_by_name[name] = count_by_name.get(name, 0) + value
+    result = [
+        _counted(
+            "flows broken or retried",
+            FLOWS_BROKEN,
+            count_by_name,
+            None,
+            "datagrams for endpoints that restarted, answers that a caller "
+            "never confirmed, and openings without a live endpoint",
+        ),
+        _counted(
+            "packets into a failure domain that is out",
+            INTO_DOMAIN_OUT,
+            count_by_name,
+            None,
+            "a few arrive in the first 3 s after a failure domain is taken "
+            "out; it must not grow after that",
+        ),
+        _counted(
+            "packets for another service",
+            WRONG_SERVICE,
+            count_by_name,
+            0,
+            "refused by an agent; none of them reached an endpoint",
+        ),
+        _cold_excess(uses),
+    ]
+    names = sorted({use.service for use in uses})
+    result.extend(_imbalance(name, uses) for name in names)
+    return result
+
+
+def _counted(
+    name: str,
+    counters: collections.abc.Iterable[str],
+    count_by_name: dict[str, float],
+    most: int | None,
+    meaning: str,
+) -> Figure:
+    value = sum(count_by_name.get(counter, 0) for counter in counters)
+    if most is None:
+        return Figure(name, value, "stays as it is", None, meaning)
+    return Figure(name, value, f"at most {most}", value <= most, meaning)
+
+
+def _cold_excess(uses: collections.abc.Sequence[burn.EndpointUse]) -> Figure:
+    value = max((use.cold_excess for use in uses), default=None)
+    return Figure(
+        "cold-start excess",
+        value,
+        "at most 0",
+        None if value is None else value <= 0,
+        "most requests at a cold endpoint over what it bears; those that ran "
+        "when it turned cold are counted too",
+    )
+
+
+def _imbalance(
+    name: str, uses: collections.abc.Sequence[burn.EndpointUse]
+) -> Figure:
+    value = burn.imbalance(use for use in uses if use.service == name)
+    return Figure(
+        f"imbalance of {name}",
+        value,
+        f"at most {IMBALANCE_LIMIT}",
+        None if value is None else value <= IMBALANCE_LIMIT,
+        "highest over mean utilisation of its endpoints over 5 min; it says "
+        "little while they are nearly idle",
+    )
--- /dev/null
+++ b/src/bramleypin/internal/tool/report_commands.py
@@ -0,0 +1,128 @@
+"""The commands ``bramleypin report``."""
+
+import dataclasses
+import datetime
+import pathlib
+import typing
+
+import typer
+
+from bramleypin import errors
+from bramleypin.internal.tool import burn as burn_module
+from bramleypin.internal.tool import burn_page
+from bramleypin.internal.tool import fleet
+from bramleypin.internal.tool import fleet_options
+from bramleypin.internal.tool import output
+from bramleypin.internal.tool import promises
+from bramleypin.internal.wire import control
+
+application = typer.Typer(
+    no_args_is_help=True, help="Report on how the services do."
+)
+
+
+@application.callback()
+def _group() -> None:
+    """Report on how the services do."""
+
+
+@application.command()
+def burn(
+    settings: fleet_options.Settings,
+    peer: fleet_options.Peers = None,
+    vms: fleet_options.Vms = None,
+    json: fleet_options.Json = False,
+    html: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option("--html", help="Write the report to this HTML file."),
+    ] = None,
+    check: typing.Annotated[
+        bool,
+        typer.Option(
+            "--check", help="Exit with 8 when a service warns or pages."
+        ),
+    ] = False,
+) -> None:
+    """Report how fast the services use up their error budgets.
+
+    Example: bramleypin report burn --settings entry-1.toml
+    --peer 127.10.1.11:7001 --html burn.html
+    """
+    requests = [
+        control.BurnRequest(burn_module.LONGEST_S),
+        control.StatusRequest(),
+    ]
+    counts, statuses = fleet_options.ask(settings, peer, vms, requests)
+    report = build(counts, statuses)
+    if html is not None:
+        _write(html, burn_page.render(report))
+    if json:
+        output.as_json(_plain(report))
+    else:
+        _print(report)
+    if check and report.level != "ok":
+        raise typer.Exit(output.EXIT_BURNING)
+    fleet_options.report_faults(counts)
+
+
+def build(counts: fleet.Answers, statuses: fleet.Answers) -> burn_page.Report:
+    """Put what the daemons answered together into a report."""
+    answers = [item.data for item in counts.answer_by_peer.values()]
+    uses = burn_module.endpoints(answers)
+    sections = [item.sections for item in statuses.answer_by_peer.values()]
+    now = datetime.datetime.now(datetime.UTC)
+    return burn_page.Report(
+        made_at=f"Asked on {now:%Y-%m-%d at %H:%M} UTC",
+        services=burn_module.services(answers, len(counts.fault_by_peer)),
+        endpoints=uses,
+        figures=promises.figures(sections, uses),
+        answered=len(answers),
+        silent=[str(peer) for peer in counts.fault_by_peer],
+    )
+
+
+def _write(path: pathlib.Path, text: str) -> None:
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise errors.InvalidSettings(
+            "command line", "--html", str(path), f"{error.strerror}"
+        ) from error
+    output.note(f"{path}: report written")
+
+
+def _plain(report: burn_page.Report) -> dict[str, typing.Any]:
+    value = dataclasses.asdict(report)
+    value["level"] = report.level
+    for service, item in zip(value["services"], report.services, strict=True):
+        service["level"] = item.level
+    return value
+
+
+def _print(report: burn_page.Report) -> None:
+    rows = [
+        [
+            service.service,
+            name,
+            burn_page.rate(window.burn),
+            window.bad,
+            window.total,
+            f"{window.covered:.0%}",
+        ]
+        for service in report.services
+        for name, window in service.window_by_name.items()
+    ]
+    columns = ("service", "last", "burn rate", "bad", "requests", "covered")
+    output.table(columns, rows)
+    for service in report.services:
+        for level, text in service.alarms:
+            output.line(f"{level}: {service.service} {text}", style="bold")
+    output.line("")
+    output.table(
+        ("promise", "measured", "should be"),
+        [
+            [figure.name, burn_page.amount(figure.value), figure.wanted]
+            for figure in report.figures
+        ],
+    )
+    output.line(report.verdict())
