--- /dev/null
+++ b/src/bramleypin/internal/observe/requests.py
@@ -0,0 +1,28 @@
+"""Answers the tool's requests for status, traces and outcomes."""
+
+import typing
+
+from bramleypin.internal.membership import handlers
+from bramleypin.internal.wire import control
+
+
+@handlers.handler(control.StatusRequest)
+async def _status(
+    kernel: typing.Any, request: control.StatusRequest
+) -> control.StatusAnswer:
+    return control.StatusAnswer(kernel.get("status").collect())
+
+
+@handlers.handler(control.TraceRequest)
+async def _trace(
+    kernel: typing.Any, request: control.TraceRequest
+) -> control.TraceAnswer:
+    entries = kernel.get("trace").report(request.text, request.limit)
+    return control.TraceAnswer(entries)
+
+
+@handlers.handler(control.BurnRequest)
+async def _burn(
+    kernel: typing.Any, request: control.BurnRequest
+) -> control.BurnAnswer:
+    return control.BurnAnswer(kernel.get("outcomes").report(request.since_s))
--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -17,6 +17,7 @@
     "bramleypin.internal.observe.trace",
     "bramleypin.internal.observe.outcomes",
     "bramleypin.internal.observe.status",
+    "bramleypin.internal.observe.requests",
 )
 
 MODULES_BY_ROLE: dict[str, tuple[str, ...]] = {
--- a/src/bramleypin/internal/tool/fleet_commands.py
+++ b/src/bramleypin/internal/tool/fleet_commands.py
@@ -85,13 +85,14 @@
 
 def _row(sections: dict[str, typing.Any]) -> Row:
     flows = sections.get("flows", {})
+    balancer = sections.get("balancer", {})
     return [
         sections["id"],
         sections["role"],
         sections["failure_domain"],
         sections["revision"],
         flows.get("state", _balancer_state(sections)),
-        flows.get("held"),
+        flows.get("held", balancer.get("flows_cached")),
         flows.get("running"),
         flows.get("limit"),
         duration(sections["uptime_s"]),
@@ -100,10 +101,12 @@
 
 
 def _balancer_state(sections: dict[str, typing.Any]) -> str | None:
-    valid = sections.get("lease", {}).get("valid")
+    if sections.get("balancer", {}).get("draining"):
+        return "draining"
+    valid = sections.get("sync", {}).get("lease_valid")
     if valid is None:
         return None
-    return "confirmed" if valid else "view not confirmed"
+    return "confirmed" if valid else "not confirmed"
 
 
 def duration(seconds: float) -> str:
@@ -129,13 +132,23 @@
     unconfirmed = [
         item["id"]
         for item in sections
-        if item.get("lease", {}).get("valid") is False
+        if item.get("sync", {}).get("lease_valid") is False
     ]
     if unconfirmed:
         result.append(
             f"forwards nothing until its view is confirmed: "
             f"{', '.join(unconfirmed)}"
         )
+    conflicts = [
+        item["id"]
+        for item in sections
+        if item.get("sync", {}).get("conflicts")
+    ]
+    if conflicts:
+        result.append(
+            "saw one revision with two contents: "
+            f"{', '.join(conflicts)}; publish a higher revision"
+        )
     versions = sorted({item["version"] for item in sections})
     if len(versions) > 1:
         result.append(f"mixed versions: {', '.join(versions)}")
