--- /dev/null
+++ b/src/bramleypin/internal/agent/endpoint.py
@@ -0,0 +1,163 @@
+"""The endpoint beside this agent: its channels and its health report."""
+
+import anyio
+import anyio.abc
+import cbor2
+
+from bramleypin.internal.agent import channel as channel_module
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.net import environment
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.wire import coap
+
+_log = logs.get("agent")
+
+HEALTH_PATH = (".well-known", "bramleypin")
+HEALTH_INTERVAL_S = 0.5
+HEALTH_TIMEOUT_S = 1.0
+
+# After a refusal, answers that were already on their way are still read for
+# this time before the older requests are given up.
+GRACE_S = 0.05
+
+DROPPED = metrics.declare(
+    "agent.endpoint.dropped",
+    "counter",
+    "datagrams",
+    "Datagrams of the endpoint that belong to no request.",
+)
+LATE = metrics.declare(
+    "agent.endpoint.late",
+    "counter",
+    "answers",
+    "Answers of the endpoint that came after their deadline.",
+)
+HEALTH_INVALID = metrics.declare(
+    "agent.health.invalid", "counter", "reports", "Health reports not usable."
+)
+
+
+@kernel_module.service(
+    "endpoint",
+    roles=("agent",),
+    needs=("view", "metrics", "trace", "admission"),
+)
+class Endpoint(kernel_module.Service):
+    """Opens channels to the endpoint and watches its health."""
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self._address = kernel.settings.endpoint.endpoint_address
+        self._channels: set[channel_module.Channel] = set()
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._instance: object = None
+        self._instance_seen_s = 0.0
+        self._reported_state = ""
+        self.last_report: dict = {}
+
+    async def start(self) -> None:
+        """Look up the services that learn from the endpoint."""
+        self._admission = self.kernel.get("admission")
+        self._metrics = self.kernel.get("metrics")
+        self._trace = self.kernel.get("trace")
+
+    async def run(self) -> None:
+        """Read the channels and the health report until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                await self._watch_health()
+
+    async def stop(self) -> None:
+        """Close the channels."""
+        for channel in list(self._channels):
+            await self.close_channel(channel)
+
+    async def open_channel(self) -> channel_module.Channel:
+        """Open a channel and read it in a task of its own."""
+        port = await self.open_port()
+        channel = channel_module.Channel(port, self.kernel.environment.random)
+        self._channels.add(channel)
+        assert self._tasks is not None
+        self._tasks.start_soon(channel.read, self._drop, self._on_refusal)
+        return channel
+
+    async def open_port(self) -> environment.EndpointPort:
+        """Open a port connected to the endpoint."""
+        return await self.kernel.environment.open_endpoint_port(self._address)
+
+    async def close_channel(self, channel: channel_module.Channel) -> None:
+        """Close a channel that no request needs any more."""
+        self._channels.discard(channel)
+        await channel.aclose()
+
+    def _drop(self, reason: str) -> None:
+        self._metrics.count(DROPPED)
+        self._trace.record("endpoint", "dropped", reason)
+
+    def late_answer(self, flow: str) -> None:
+        """Count an answer that came after its deadline."""
+        self._metrics.count(LATE)
+        self._trace.record(flow, "dropped", "late_answer")
+
+    def _on_refusal(self) -> None:
+        self._admission.went_down()
+        assert self._tasks is not None
+        self._tasks.start_soon(self._give_up, anyio.current_time())
+
+    async def _give_up(self, before_s: float) -> None:
+        await anyio.sleep(GRACE_S)
+        for channel in self._channels:
+            channel.lose_older(before_s)
+
+    async def _watch_health(self) -> None:
+        channel = await self.open_channel()
+        while channel.is_clean:
+            await self._read_health(channel)
+            await anyio.sleep(HEALTH_INTERVAL_S)
+        await self.close_channel(channel)
+
+    async def _read_health(self, channel: channel_module.Channel) -> None:
+        request = coap.message(coap.CON, coap.code_number("0.01"), 0)
+        request.opt.uri_path = HEALTH_PATH
+        until_s = anyio.current_time() + HEALTH_TIMEOUT_S
+        exchange = channel.begin(request, until_s, repeatable=False)
+        await exchange.wait(until_s)
+        exchange.finish(channel_module.End.LOST)
+        if exchange.end is not channel_module.End.ANSWERED:
+            return
+        answer = exchange.response
+        if answer.code == coap.CONTENT:
+            self._learn(answer.payload, exchange.started_s)
+        else:
+            # An endpoint without the resource is known to be up, no more.
+            self._admission.came_up()
+
+    def _learn(self, payload: bytes, asked_s: float) -> None:
+        try:
+            report = cbor2.loads(payload)
+            instance = report["instance"]
+            state = str(report["state"])
+        except Exception as error:
+            self._metrics.count(HEALTH_INVALID)
+            _log.limited("health", f"unusable health report: {error}")
+            return
+        self.last_report = report
+        if self._instance not in (None, instance):
+            self._new_instance()
+        elif state == "cold" and self._reported_state == "ready":
+            self._admission.turned_cold("reported")
+        if self._instance == instance:
+            self._instance_seen_s = asked_s
+        self._instance = instance
+        self._reported_state = state
+        self._admission.reported_draining = state == "draining"
+        self._admission.came_up()
+
+    def _new_instance(self) -> None:
+        self._admission.turned_cold("new_instance")
+        # Requests sent before the old instance last answered went to it, and
+        # its restart has ended them.
+        for channel in self._channels:
+            channel.lose_older(self._instance_seen_s)
--- /dev/null
+++ b/src/bramleypin/internal/agent/receiver.py
@@ -0,0 +1,307 @@
+"""Reads the data port of an agent: checks frames and dispatches them."""
+
+import dataclasses
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.agent import admission as admission_module
+from bramleypin.internal.agent import flow as flow_module
+from bramleypin.internal.agent import flows as flows_module
+from bramleypin.internal.agent import identity as identity_module
+from bramleypin.internal.agent import opening
+from bramleypin.internal.agent import standing as standing_module
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.wire import coap
+from bramleypin.internal.wire import frames
+from bramleypin.internal.wire import replay
+
+_log = logs.get("agent")
+_Status = identity_module.PinStatus
+
+NOTICE_INTERVAL_S = 0.1
+NOTICES_KEPT = 4_096
+
+# Datagrams read in one go before other tasks get a turn.
+BATCH = 64
+
+_DROP_MEANING_BY_REASON = {
+    "frame_truncated": "The frame was cut short.",
+    "frame_mac": "No valid key gives the frame's MAC.",
+    "frame_fields": "The header has a wrong number of fields.",
+    "frame_header": "The header cannot be decoded.",
+    "frame_kind": "An agent does not take frames of this kind.",
+    "no_view": "No configuration has been accepted yet.",
+    "domain_out": "The agent's failure domain is out of service.",
+    "wrong_service": "The datagram is for another service or address.",
+    "stale_incarnation": "The frame is for another incarnation.",
+    "replayed": "The frame was seen before or is too old.",
+    "coap_format": "The caller's datagram is no CoAP message.",
+    "no_request": "The message is no request and confirms no answer.",
+    "not_admitting": "A new flow came while none is taken.",
+}
+DROPPED_BY_REASON = {
+    reason: metrics.declare(
+        f"agent.dropped.{reason}", "counter", "datagrams", meaning
+    )
+    for reason, meaning in _DROP_MEANING_BY_REASON.items()
+}
+NOTICES = metrics.declare(
+    "agent.notices", "counter", "frames", "NOTICE frames sent."
+)
+
+
+@kernel_module.service(
+    "frames",
+    roles=("agent",),
+    needs=("port", "identity", "view", "metrics", "trace", "flows"),
+)
+class Receiver(kernel_module.Service):
+    """The receiver of the data port for the role agent."""
+
+    async def start(self) -> None:
+        """Look up the services that take the frames."""
+        kernel = self.kernel
+        self._port = kernel.get("port")
+        self._identity: identity_module.Identity = kernel.get("identity")
+        self._flows: flows_module.Flows = kernel.get("flows")
+        self._admission: admission_module.Admission = kernel.get("admission")
+        self._metrics = kernel.get("metrics")
+        self._trace = kernel.get("trace")
+        self._views = kernel.get("view")
+        self._standing = standing_module.Standing(kernel)
+        self._replay = replay.ReplayTable()
+        self._decisions = opening.Decisions(kernel.environment.random)
+        self._keys = kernel.settings.key_bytes
+        self._data = kernel.settings.addresses.data_address
+        self._control = kernel.settings.addresses.control_address
+        self._next_notice_by_sender: dict[address.Address, float] = {}
+
+    async def run(self) -> None:
+        """Read frames until cancelled."""
+        while True:
+            data, sender = await self._port.receive()
+            self._receive(data, sender)
+            for _ in range(BATCH):
+                more = self._port.receive_nowait()
+                if more is None:
+                    break
+                self._receive(*more)
+            await anyio.sleep(0)
+
+    def _receive(self, data: bytes, sender: address.Address) -> None:
+        try:
+            frame, sequence, payload = frames.decode(data, self._keys)
+            if isinstance(frame, frames.Forward):
+                self._forward(frame, sequence, payload, sender)
+            elif isinstance(frame, frames.Probe):
+                self._probe(frame, sender)
+            elif isinstance(frame, frames.Notice):
+                self._notice(frame, sender)
+            else:
+                raise errors.InvalidFrame("frame_kind")
+        except errors.InvalidFrame as error:
+            self._drop(error.reason, str(sender))
+
+    def _drop(self, reason: str, flow: str) -> None:
+        self._metrics.count(DROPPED_BY_REASON[reason])
+        self._trace.record(flow, "dropped", reason)
+        _log.limited(f"drop {reason}", "dropped a datagram", reason=reason)
+
+    def _send_notice(
+        self, reason: frames.Reason, sender: address.Address
+    ) -> None:
+        """Send a NOTICE, at most one per sender each 100 ms."""
+        now = anyio.current_time()
+        if now < self._next_notice_by_sender.get(sender, 0.0):
+            return
+        if len(self._next_notice_by_sender) >= NOTICES_KEPT:
+            self._next_notice_by_sender.clear()
+        self._next_notice_by_sender[sender] = now + NOTICE_INTERVAL_S
+        notice = frames.Notice(
+            reason,
+            self._views.view.revision,
+            self._control,
+            self._identity.incarnation,
+        )
+        self._metrics.count(NOTICES)
+        self._port.send(self._identity.seal(notice), sender)
+
+    def _compare_revision(
+        self, revision: int, sender: address.Address
+    ) -> None:
+        own = self._views.view.revision
+        if revision < own:
+            self._send_notice(frames.Reason.NEWER_REVISION, sender)
+        elif revision > own:
+            self._report_newer(revision, None)
+
+    def _report_newer(
+        self, revision: int, control: address.Address | None
+    ) -> None:
+        sync = self.kernel.service_by_name.get("sync")
+        if sync is not None:
+            sync.report_newer(revision, control)
+
+    def _check_service(
+        self,
+        frame: frames.Forward | frames.Probe,
+        sender: address.Address,
+    ) -> None:
+        if not self._views.view.revision:
+            raise errors.InvalidFrame("no_view")
+        if not self._standing.may_deliver(
+            frame.service, frame.service_address
+        ):
+            self._send_notice(frames.Reason.WRONG_SERVICE, sender)
+            raise errors.InvalidFrame("wrong_service")
+
+    def _probe(self, frame: frames.Probe, sender: address.Address) -> None:
+        self._check_service(frame, sender)
+        self._compare_revision(frame.revision, sender)
+        answer = frames.ProbeAnswer(
+            probe_id=frame.probe_id,
+            holds=self._flows.holds((frame.service_address, frame.caller)),
+            state=self._flows.state(),
+            load=self._admission.load(),
+            revision=self._views.view.revision,
+            incarnation=self._identity.incarnation,
+        )
+        self._port.send(self._identity.seal(answer), sender)
+
+    def _notice(self, frame: frames.Notice, sender: address.Address) -> None:
+        if frame.revision > self._views.view.revision:
+            self._report_newer(frame.revision, frame.control)
+        if frame.reason is not frames.Reason.NEWER_REVISION:
+            self._decisions.forget_agent(sender)
+
+    def _forward(
+        self,
+        frame: frames.Forward,
+        sequence: int,
+        payload: bytes,
+        sender: address.Address,
+    ) -> None:
+        self._check_service(frame, sender)
+        if self._standing.is_out():
+            self._send_notice(frames.Reason.FAILURE_DOMAIN_OUT, sender)
+            raise errors.InvalidFrame("domain_out")
+        if frame.incarnation != self._identity.incarnation:
+            self._send_notice(frames.Reason.STALE_INCARNATION, sender)
+            raise errors.InvalidFrame("stale_incarnation")
+        if not self._replay.accept(frame.nonce, sequence):
+            raise errors.InvalidFrame("replayed")
+        self._compare_revision(frame.revision, sender)
+        arrival = flow_module.Arrival(frame, payload, anyio.current_time())
+        if self._standing.is_datagram_service():
+            self._deliver_datagram(arrival, sender)
+        else:
+            self._deliver_coap(arrival, sender)
+
+    def _deliver_datagram(
+        self, arrival: flow_module.Arrival, sender: address.Address
+    ) -> None:
+        if self._flows.holds(arrival.key):
+            self._flows.deliver(arrival)
+        else:
+            self._open(arrival, sender)
+
+    def _deliver_coap(
+        self, arrival: flow_module.Arrival, sender: address.Address
+    ) -> None:
+        message = coap.decode(arrival.data)
+        pin = self._identity.check_pin(coap.option(message, coap.ECHO))
+        arrival = dataclasses.replace(arrival, message=message, pin=pin)
+        if not coap.is_request(int(message.code)):
+            if not self._flows.confirm(arrival):
+                raise errors.InvalidFrame("no_request")
+            return
+        held = self._flows.holds(arrival.key)
+        if pin.status in (_Status.FRESH, _Status.STALE):
+            held = self._flows.has_pinned(pin)
+            self._flows.deliver(dataclasses.replace(arrival, held=held))
+        elif held:
+            self._flows.deliver(dataclasses.replace(arrival, held=True))
+        elif pin.status is _Status.FOREIGN and self._stays_here(arrival):
+            self._flows.deliver(arrival)
+        else:
+            self._open(arrival, sender)
+
+    def _stays_here(self, arrival: flow_module.Arrival) -> bool:
+        """Tell whether a request under an older pin is handled here.
+
+        A non-idempotent one is answered "unknown" by any agent; an
+        idempotent one is adopted by its own endpoint's next incarnation.
+        """
+        if arrival.forward.pinned:
+            return True
+        return not self._flows.rules.is_idempotent(arrival.message)
+
+    def _open(
+        self, arrival: flow_module.Arrival, sender: address.Address
+    ) -> None:
+        candidates = arrival.forward.candidates
+        if arrival.forward.open and candidates:
+            self._decide(arrival, candidates)
+        elif self._flows.state() in (frames.State.DRAINING, frames.State.OUT):
+            # The sender's cache is old; without it the flow is opened anew.
+            self._send_notice(frames.Reason.STALE_INCARNATION, sender)
+            self._turn_away(arrival)
+        else:
+            self._flows.deliver(arrival)
+
+    def _turn_away(self, arrival: flow_module.Arrival) -> None:
+        if arrival.message is None:
+            raise errors.InvalidFrame("not_admitting")
+        self._trace.record(arrival.flow_text, "refused", "not_admitting")
+        self._flows.rules.refuse(0, arrival, "no endpoint is free; try later")
+
+    def _decide(
+        self,
+        arrival: flow_module.Arrival,
+        candidates: tuple[frames.Candidate, ...],
+    ) -> None:
+        """Choose the endpoint of a new flow, as its home."""
+        chosen = self._decisions.get(arrival.key)
+        reason = "decided_before"
+        if chosen is None:
+            current = tuple(self._refreshed(item) for item in candidates)
+            chosen = self._decisions.decide(arrival.key, current)
+            reason = "least_loaded"
+        if chosen is None:
+            self._turn_away(arrival)
+            return
+        self._trace.record(arrival.flow_text, "home", f"{reason} {chosen.data}")
+        if chosen.data == self._data:
+            self._flows.deliver(arrival)
+        else:
+            self._pass_on(arrival, chosen)
+
+    def _refreshed(self, candidate: frames.Candidate) -> frames.Candidate:
+        """Return a candidate with this agent's own load as it is now."""
+        if candidate.data != self._data:
+            return candidate
+        return frames.Candidate(
+            self._data,
+            self._flows.state(),
+            self._admission.load(),
+            self._identity.incarnation,
+        )
+
+    def _pass_on(
+        self, arrival: flow_module.Arrival, chosen: frames.Candidate
+    ) -> None:
+        forward = dataclasses.replace(
+            arrival.forward,
+            nonce=self._identity.nonce,
+            incarnation=chosen.incarnation,
+            revision=self._views.view.revision,
+            elapsed_us=int(arrival.elapsed_s() * 1e6),
+            candidates=(),
+        )
+        self._port.send(
+            self._identity.seal(forward, arrival.data), chosen.data
+        )
--- /dev/null
+++ b/src/bramleypin/internal/agent/runner.py
@@ -0,0 +1,275 @@
+"""Runs one request: admission, the endpoint, and the conclusion."""
+
+import anyio
+
+from bramleypin.internal.agent import admission as admission_module
+from bramleypin.internal.agent import channel as channel_module
+from bramleypin.internal.agent import flow as flow_module
+from bramleypin.internal.agent import replies as replies_module
+from bramleypin.internal.agent import requests
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.wire import coap
+
+RETRY_AFTER_S = 1
+OBSERVE = 6
+
+_REASON_BY_VERDICT = {
+    admission_module.Verdict.SHED: "the endpoint is busy; try later",
+    admission_module.Verdict.EXPIRED: "the deadline passed before the start",
+    admission_module.Verdict.CLOSED: "the request was cancelled",
+}
+
+_NAME_BY_OUTCOME = {
+    coap.Outcome.NOT_RUN: "not_run",
+    coap.Outcome.UNKNOWN: "unknown",
+    coap.Outcome.INVALID: "invalid",
+}
+
+
+def not_run(reason: str, max_age_s: int = RETRY_AFTER_S) -> coap.Message:
+    """Return an answer "not run, try later"; type and ids come later."""
+    answer = coap.message(
+        coap.NON, coap.SERVICE_UNAVAILABLE, 0, b"", reason.encode()
+    )
+    coap.set_uint_option(answer, coap.OUTCOME, coap.Outcome.NOT_RUN)
+    answer.opt.max_age = max_age_s
+    return answer
+
+
+def plain(code: int, outcome: coap.Outcome, reason: str) -> coap.Message:
+    """Return another answer of the system itself."""
+    answer = coap.message(coap.NON, code, 0, b"", reason.encode())
+    coap.set_uint_option(answer, coap.OUTCOME, outcome)
+    return answer
+
+
+def unknown(reason: str) -> coap.Message:
+    """Return an answer "may have run"."""
+    return plain(coap.GATEWAY_TIMEOUT, coap.Outcome.UNKNOWN, reason)
+
+
+class Runner:
+    """Takes a request whose record exists through to its answer."""
+
+    def __init__(
+        self,
+        kernel: kernel_module.Kernel,
+        replies: replies_module.Replies,
+        records: requests.RecordTable,
+    ):
+        self._admission: admission_module.Admission = kernel.get("admission")
+        self._endpoint = kernel.get("endpoint")
+        self._outcomes = kernel.get("outcomes")
+        self._trace = kernel.get("trace")
+        self._service = kernel.settings.endpoint.service
+        self._replies = replies
+        self._records = records
+
+    async def run(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        message: coap.Message,
+    ) -> None:
+        """Run a request once, and answer it."""
+        flow.active += 1
+        try:
+            verdict = await self._admission.admit(
+                record.newest.caller, record.ticket, record.deadline_s
+            )
+            if verdict is admission_module.Verdict.ADMITTED:
+                await self._run_admitted(flow, record, message)
+            elif record.answer is None:
+                reason = _REASON_BY_VERDICT[verdict]
+                self.conclude(flow, record, not_run(reason))
+            if record.announced and record.newest.confirmable:
+                await self._replies.send_separately(flow, record)
+        finally:
+            flow.active -= 1
+            flow.used_s = anyio.current_time()
+            self._forget(record)
+
+    def _forget(self, record: requests.Record) -> None:
+        if not record.idempotent:
+            return
+        if record.ticket.state is requests.TicketState.CLOSED:
+            self._records.mark_repeatable(record)
+        else:
+            self._records.remove(record)
+
+    async def _run_admitted(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        message: coap.Message,
+    ) -> None:
+        try:
+            await self._hand_over(flow, record, message)
+        finally:
+            self._admission.release()
+
+    async def _hand_over(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        message: coap.Message,
+    ) -> None:
+        try:
+            channel = await self._channel_of(flow)
+        except OSError as error:
+            record.ticket.move(requests.TicketState.CLOSED)
+            self.conclude(flow, record, not_run(f"no channel: {error}"))
+            return
+        if record.cancel_asked or anyio.current_time() >= record.deadline_s:
+            record.ticket.move(requests.TicketState.CLOSED)
+            self.conclude(flow, record, not_run("cancelled or too late"))
+            return
+        exchange = channel.begin(
+            _for_endpoint(message), record.deadline_s, record.idempotent
+        )
+        record.running = exchange
+        if await exchange.wait(record.deadline_s):
+            self._conclude_exchange(flow, record, exchange)
+        else:
+            await self._outwait(flow, record, exchange)
+
+    async def _channel_of(
+        self, flow: flow_module.Flow
+    ) -> channel_module.Channel:
+        channel = flow.channel
+        in_transfer = anyio.current_time() < flow.transfer_until_s
+        if channel is not None and channel.is_idle:
+            if channel.refused or not (channel.is_clean or in_transfer):
+                flow.channel = None
+                await self._endpoint.close_channel(channel)
+        if flow.channel is None:
+            opened = await self._endpoint.open_channel()
+            if flow.channel is not None:
+                await self._endpoint.close_channel(opened)
+            else:
+                flow.channel = opened
+        return flow.channel
+
+    async def _outwait(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        exchange: channel_module.Exchange,
+    ) -> None:
+        """Keep the slot while the endpoint may still be at work.
+
+        The caller learns at the deadline that the outcome is unknown. The
+        endpoint is asked to stop; its late answer is delivered to nobody.
+        """
+        record.ticket.move(requests.TicketState.UNKNOWN)
+        self.conclude(flow, record, unknown("no answer before the deadline"))
+        exchange.cancel()
+        service = self._admission.standing.service()
+        longest_s = 30.0 if service is None else service.max_duration_s
+        if await exchange.wait(exchange.started_s + longest_s):
+            if exchange.end is channel_module.End.ANSWERED:
+                self._endpoint.late_answer(f"{flow.flow_id:012x}")
+        else:
+            exchange.finish(channel_module.End.LOST)
+            self._admission.overloaded("silent")
+
+    def _conclude_exchange(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        exchange: channel_module.Exchange,
+    ) -> None:
+        end = exchange.end
+        if end is channel_module.End.ANSWERED:
+            self._conclude_answered(flow, record, exchange)
+        elif end in (
+            channel_module.End.REFUSED,
+            channel_module.End.CANCELLED,
+        ):
+            record.ticket.move(requests.TicketState.CLOSED)
+            self.conclude(flow, record, not_run(f"endpoint: {end.value}"))
+        else:
+            record.ticket.move(requests.TicketState.UNKNOWN)
+            self.conclude(flow, record, unknown("the endpoint failed"))
+
+    def _conclude_answered(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        exchange: channel_module.Exchange,
+    ) -> None:
+        response = exchange.response
+        if response.code == coap.SERVICE_UNAVAILABLE:
+            self._admission.overloaded("shed")
+            record.ticket.move(requests.TicketState.CLOSED)
+            wait_s = response.opt.max_age
+            answer = not_run(
+                "the endpoint shed the request",
+                RETRY_AFTER_S if wait_s is None else wait_s,
+            )
+        else:
+            now = anyio.current_time()
+            self._admission.answered(now - exchange.started_s)
+            record.ticket.move(requests.TicketState.ANSWERED)
+            answer = _for_caller(response)
+            flow.note_transfer(_has_more(response))
+        self.conclude(flow, record, answer)
+
+    def conclude(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        answer: coap.Message,
+    ) -> None:
+        """Set and send a record's answer; its ticket is final already."""
+        record.answer = answer
+        record.running = None
+        outcome = coap.outcome(answer)
+        name = _NAME_BY_OUTCOME.get(outcome, "answered")
+        latency_s = anyio.current_time() - record.first_seen_s
+        self._outcomes.record(self._service, name, latency_s)
+        self._trace.record(f"{flow.flow_id:012x}", name, record.method)
+        if record.renew_pin and outcome is not coap.Outcome.NOT_RUN:
+            coap.set_option(answer, coap.ECHO, self._replies.pin_of(flow))
+        if not (record.announced and record.newest.confirmable):
+            self.repeat(flow, record)
+
+    def repeat(
+        self, flow: flow_module.Flow, record: requests.Record
+    ) -> None:
+        """Send the stored answer to where the newest copy came from."""
+        self._replies.send_once(
+            record.newest,
+            record.answer,
+            record.key[1],
+            self._replies.pin_of(flow),
+        )
+
+
+def _for_endpoint(message: coap.Message) -> coap.Message:
+    """Return the request without what only concerns callers and agents."""
+    copied = coap.message(
+        coap.CON, int(message.code), 0, b"", message.payload
+    )
+    for entry in message.opt.option_list():
+        if int(entry.number) not in (coap.ECHO, coap.DEADLINE, OBSERVE):
+            copied.opt.add_option(entry)
+    return copied
+
+
+def _for_caller(response: coap.Message) -> coap.Message:
+    """Return the response without options that only the agent may set."""
+    copied = coap.message(
+        coap.NON, int(response.code), 0, b"", response.payload
+    )
+    for entry in response.opt.option_list():
+        if int(entry.number) not in (coap.ECHO, coap.OUTCOME, OBSERVE):
+            copied.opt.add_option(entry)
+    return copied
+
+
+def _has_more(response: coap.Message) -> bool:
+    block2 = response.opt.block2
+    if block2 is not None and block2.more:
+        return True
+    return response.code == coap.CONTINUE
