--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -170,9 +170,7 @@
         displaced.woken.set()
         return True
 
-    async def _wait(
-        self, waiter: waiting_line.Waiter, until_s: float
-    ) -> None:
+    async def _wait(self, waiter: waiting_line.Waiter, until_s: float) -> None:
         with anyio.move_on_after(until_s - anyio.current_time()):
             await waiter.woken.wait()
         self.line.remove(waiter)
--- a/src/bramleypin/internal/agent/flows.py
+++ b/src/bramleypin/internal/agent/flows.py
@@ -186,7 +186,9 @@
         self._flow_by_id[flow_id] = flow
         self._metrics.count(FLOWS_OPENED)
         self._metrics.gauge(FLOWS_HELD, len(self._flow_by_id))
-        self._trace.record(arrival.flow_text, "opened", arrival.pin.status.value)
+        self._trace.record(
+            arrival.flow_text, "opened", arrival.pin.status.value
+        )
         return flow
 
     def _refuse(self, arrival: flow_module.Arrival) -> None:
--- a/src/bramleypin/internal/agent/opening.py
+++ b/src/bramleypin/internal/agent/opening.py
@@ -74,9 +74,7 @@
         self._store(key, chosen)
         return chosen
 
-    def _store(
-        self, key: flow_module.Key, chosen: frames.Candidate
-    ) -> None:
+    def _store(self, key: flow_module.Key, chosen: frames.Candidate) -> None:
         now = anyio.current_time()
         table = self._decision_by_key
         table.pop(key, None)
--- a/src/bramleypin/internal/agent/receiver.py
+++ b/src/bramleypin/internal/agent/receiver.py
@@ -41,6 +41,7 @@
     "replayed": "The frame was seen before or is too old.",
     "coap_format": "The caller's datagram is no CoAP message.",
     "no_request": "The message is no request and confirms no answer.",
+    "unexpected": "A field of a signed frame had a wrong type.",
     "not_admitting": "A new flow came while none is taken.",
 }
 DROPPED_BY_REASON = {
@@ -57,7 +58,16 @@
 @kernel_module.service(
     "frames",
     roles=("agent",),
-    needs=("port", "identity", "view", "metrics", "trace", "flows"),
+    needs=(
+        "port",
+        "identity",
+        "view",
+        "members",
+        "sync",
+        "metrics",
+        "trace",
+        "flows",
+    ),
 )
 class Receiver(kernel_module.Service):
     """The receiver of the data port for the role agent."""
@@ -73,7 +83,7 @@
         self._trace = kernel.get("trace")
         self._views = kernel.get("view")
         self._standing = standing_module.Standing(kernel)
-        self._replay = replay.ReplayTable()
+        self._replay = replay.ReplayFilter()
         self._decisions = opening.Decisions(kernel.environment.random)
         self._keys = kernel.settings.key_bytes
         self._data = kernel.settings.addresses.data_address
@@ -82,15 +92,19 @@
 
     async def run(self) -> None:
         """Read frames until cancelled."""
-        while True:
-            data, sender = await self._port.receive()
-            self._receive(data, sender)
-            for _ in range(BATCH):
-                more = self._port.receive_nowait()
-                if more is None:
-                    break
-                self._receive(*more)
-            await anyio.sleep(0)
+        await self.kernel.started.wait()
+        try:
+            while True:
+                item = await self._port.receive()
+                for _ in range(BATCH):
+                    self._receive(*item)
+                    item = self._port.receive_nowait()
+                    if item is None:
+                        break
+                else:
+                    self._receive(*item)
+        except errors.PortClosed:
+            return
 
     def _receive(self, data: bytes, sender: address.Address) -> None:
         try:
@@ -105,6 +119,11 @@
                 raise errors.InvalidFrame("frame_kind")
         except errors.InvalidFrame as error:
             self._drop(error.reason, str(sender))
+        except (OSError, ValueError, TypeError, AttributeError) as error:
+            # A signed frame with fields of a wrong type, from a peer of
+            # another version, must not end the task.
+            _log.limited("frame", "a frame caused an error", error=error)
+            self._drop("unexpected", str(sender))
 
     def _drop(self, reason: str, flow: str) -> None:
         self._metrics.count(DROPPED_BY_REASON[reason])
@@ -137,14 +156,19 @@
         if revision < own:
             self._send_notice(frames.Reason.NEWER_REVISION, sender)
         elif revision > own:
-            self._report_newer(revision, None)
+            self._fetch_newer(revision, sender)
 
-    def _report_newer(
-        self, revision: int, control: address.Address | None
-    ) -> None:
-        sync = self.kernel.service_by_name.get("sync")
-        if sync is not None:
-            sync.report_newer(revision, control)
+    def _fetch_newer(self, revision: int, sender: address.Address) -> None:
+        """Fetch a revision from its sender, or from another known process.
+
+        The frame names the sender's data address only.
+        """
+        peers = self.kernel.get("members").peers()
+        same = [item for item in peers if item.data == str(sender)]
+        for peer in same or peers[:1]:
+            self.kernel.get("sync").report_newer(
+                revision, address.parse(peer.control)
+            )
 
     def _check_service(
         self,
@@ -174,7 +198,7 @@
 
     def _notice(self, frame: frames.Notice, sender: address.Address) -> None:
         if frame.revision > self._views.view.revision:
-            self._report_newer(frame.revision, frame.control)
+            self.kernel.get("sync").report_newer(frame.revision, frame.control)
         if frame.reason is not frames.Reason.NEWER_REVISION:
             self._decisions.forget_agent(sender)
 
@@ -216,8 +240,7 @@
         pin = self._identity.check_pin(coap.option(message, coap.ECHO))
         arrival = dataclasses.replace(arrival, message=message, pin=pin)
         if not coap.is_request(int(message.code)):
-            if not self._flows.confirm(arrival):
-                raise errors.InvalidFrame("no_request")
+            self._confirm(arrival)
             return
         held = self._flows.holds(arrival.key)
         if pin.status in (_Status.FRESH, _Status.STALE):
@@ -230,6 +253,16 @@
         else:
             self._open(arrival, sender)
 
+    def _confirm(self, arrival: flow_module.Arrival) -> None:
+        """Pass an ACK to the answer that waits for it, here or elsewhere."""
+        if self._flows.confirm(arrival):
+            return
+        chosen = self._decisions.get(arrival.key)
+        if not arrival.forward.open or chosen is None:
+            raise errors.InvalidFrame("no_request")
+        if chosen.data != self._data:
+            self._pass_on(arrival, chosen)
+
     def _stays_here(self, arrival: flow_module.Arrival) -> bool:
         """Tell whether a request under an older pin is handled here.
 
@@ -243,9 +276,8 @@
     def _open(
         self, arrival: flow_module.Arrival, sender: address.Address
     ) -> None:
-        candidates = arrival.forward.candidates
-        if arrival.forward.open and candidates:
-            self._decide(arrival, candidates)
+        if arrival.forward.open:
+            self._decide(arrival)
         elif self._flows.state() in (frames.State.DRAINING, frames.State.OUT):
             # The sender's cache is old; without it the flow is opened anew.
             self._send_notice(frames.Reason.STALE_INCARNATION, sender)
@@ -259,22 +291,25 @@
         self._trace.record(arrival.flow_text, "refused", "not_admitting")
         self._flows.rules.refuse(0, arrival, "no endpoint is free; try later")
 
-    def _decide(
-        self,
-        arrival: flow_module.Arrival,
-        candidates: tuple[frames.Candidate, ...],
-    ) -> None:
-        """Choose the endpoint of a new flow, as its home."""
+    def _decide(self, arrival: flow_module.Arrival) -> None:
+        """Choose the endpoint of a new flow, as its home.
+
+        Only a frame with ``open`` is passed on, and without ``open``, so that
+        it goes through two agents at most.
+        """
         chosen = self._decisions.get(arrival.key)
         reason = "decided_before"
         if chosen is None:
-            current = tuple(self._refreshed(item) for item in candidates)
+            offered = arrival.forward.candidates or (self._own_candidate(),)
+            current = tuple(self._refreshed(item) for item in offered)
             chosen = self._decisions.decide(arrival.key, current)
             reason = "least_loaded"
         if chosen is None:
             self._turn_away(arrival)
             return
-        self._trace.record(arrival.flow_text, "home", f"{reason} {chosen.data}")
+        self._trace.record(
+            arrival.flow_text, "home", f"{reason} {chosen.data}"
+        )
         if chosen.data == self._data:
             self._flows.deliver(arrival)
         else:
@@ -284,6 +319,9 @@
         """Return a candidate with this agent's own load as it is now."""
         if candidate.data != self._data:
             return candidate
+        return self._own_candidate()
+
+    def _own_candidate(self) -> frames.Candidate:
         return frames.Candidate(
             self._data,
             self._flows.state(),
@@ -299,6 +337,7 @@
             nonce=self._identity.nonce,
             incarnation=chosen.incarnation,
             revision=self._views.view.revision,
+            open=False,
             elapsed_us=int(arrival.elapsed_s() * 1e6),
             candidates=(),
         )
--- a/src/bramleypin/internal/agent/replies.py
+++ b/src/bramleypin/internal/agent/replies.py
@@ -49,9 +49,9 @@
         self._random = kernel.environment.random
         self._service = kernel.settings.endpoint.service
         self._owner = kernel.settings.addresses.data_address
-        self._unanswered: collections.deque[
-            tuple[float, requests.Record]
-        ] = collections.deque()
+        self._unanswered: collections.deque[tuple[float, requests.Record]] = (
+            collections.deque()
+        )
         self._added = anyio.Event()
 
     def pin_of(self, flow: flow_module.Flow) -> bytes:
@@ -78,9 +78,7 @@
             pin=pin,
         )
         self._metrics.count(ANSWERS)
-        self._port.send(
-            self._identity.seal(header, data), copy.return_address
-        )
+        self._port.send(self._identity.seal(header, data), copy.return_address)
 
     def send_once(
         self,
--- a/src/bramleypin/internal/agent/requests.py
+++ b/src/bramleypin/internal/agent/requests.py
@@ -8,8 +8,8 @@
 
 import anyio
 
-from bramleypin.internal.agent import identity
 from bramleypin.internal import address
+from bramleypin.internal.agent import identity
 from bramleypin.internal.wire import coap
 
 # At least PIN_LIFETIME_S, so that a copy of a request whose record has been
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -234,9 +234,7 @@
         if not (record.announced and record.newest.confirmable):
             self.repeat(flow, record)
 
-    def repeat(
-        self, flow: flow_module.Flow, record: requests.Record
-    ) -> None:
+    def repeat(self, flow: flow_module.Flow, record: requests.Record) -> None:
         """Send the stored answer to where the newest copy came from."""
         self._replies.send_once(
             record.newest,
@@ -248,9 +246,7 @@
 
 def _for_endpoint(message: coap.Message) -> coap.Message:
     """Return the request without what only concerns callers and agents."""
-    copied = coap.message(
-        coap.CON, int(message.code), 0, b"", message.payload
-    )
+    copied = coap.message(coap.CON, int(message.code), 0, b"", message.payload)
     for entry in message.opt.option_list():
         if int(entry.number) not in (coap.ECHO, coap.DEADLINE, OBSERVE):
             copied.opt.add_option(entry)
--- a/src/bramleypin/internal/agent/standing.py
+++ b/src/bramleypin/internal/agent/standing.py
@@ -36,7 +36,9 @@
             self._seen = self.view
             service = self.service()
             self._endpoint = (
-                None if service is None else service.endpoint(self._endpoint_id)
+                None
+                if service is None
+                else service.endpoint(self._endpoint_id)
             )
             self._last = self._endpoint or self._last
         return self._endpoint
--- /dev/null
+++ b/src/bramleypin/standins/agent_rig.py
@@ -0,0 +1,316 @@
+"""Agents with endpoints in a virtual network, for tests and benches.
+
+The membership services are replaced by settable ones; everything else is the
+product's. ``Sender`` stands for a balancer that sends single frames.
+"""
+
+import collections
+import dataclasses
+import importlib
+import typing
+
+import anyio
+import anyio.abc
+
+from bramleypin.internal import address
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.model import configuration
+from bramleypin.internal import services
+from bramleypin.internal.wire import coap
+from bramleypin.internal.wire import frames
+from bramleypin import settings as settings_module
+from bramleypin.standins import balancer_rig
+from bramleypin.standins import endpoint as endpoint_module
+from bramleypin.standins import virtual_network
+from bramleypin.standins import virtual_process
+
+KEY = bytes.fromhex(balancer_rig.KEY)
+SERVICE = "scheduler"
+SERVICE_ADDRESS = address.Address("10.9.0.1", 5683)
+CALLER = address.Address("10.8.0.1", 40_000)
+DATA_PORT = 7000
+CONTROL_PORT = 7001
+ENDPOINT_PORT = 5683
+
+_STARTED = (
+    "metrics",
+    "trace",
+    "outcomes",
+    "status",
+    "view",
+    "port",
+    "identity",
+    "admission",
+    "endpoint",
+    "flows",
+    "frames",
+)
+
+
+def endpoint_document(
+    number: int, failure_domain: str = "austin", **fields: typing.Any
+) -> configuration.Endpoint:
+    """Return the configuration of the endpoint on host ``number``."""
+    host = f"10.0.0.{number}"
+    values = {"slots": 5, "cold_slots": 5, "ramp_s": 0.0, **fields}
+    return configuration.Endpoint(
+        id=f"host-{number}",
+        failure_domain=failure_domain,
+        data=f"{host}:{DATA_PORT}",
+        control=f"{host}:{CONTROL_PORT}",
+        **values,
+    )
+
+
+def service_document(
+    endpoints: typing.Iterable[configuration.Endpoint],
+    **fields: typing.Any,
+) -> configuration.Service:
+    """Return the configuration of the service."""
+    values = {"name": SERVICE, "addresses": (str(SERVICE_ADDRESS),), **fields}
+    return configuration.Service(endpoints=tuple(endpoints), **values)
+
+
+def apply(
+    kernel: kernel_module.Kernel,
+    revision: int,
+    service: configuration.Service,
+    out: typing.Container[str] = (),
+) -> None:
+    """Put a configuration in force at one process."""
+    domains = {item.failure_domain for item in service.endpoints}
+    manifest, encoded = balancer_rig.documents(
+        revision, (service,), sorted(domains | {"austin"}), out
+    )
+    kernel.get("view").apply(manifest, encoded)
+
+
+@dataclasses.dataclass
+class Rig:
+    """An agent with its endpoint, each a process on one virtual host."""
+
+    network: virtual_network.VirtualNetwork
+    document: configuration.Endpoint
+    profile: endpoint_module.Profile
+    limits: settings_module.Limits = settings_module.Limits()
+    policy: str = "adaptive"
+    service: configuration.Service | None = None
+    revision: int = 1
+
+    def __post_init__(self) -> None:
+        """Create the endpoint's process."""
+        self.membership = balancer_rig.Membership()
+        self.data = address.parse(self.document.data)
+        self.kernel: kernel_module.Kernel
+        self.process: virtual_process.Process
+        self.endpoint_process = self.network.process(
+            f"endpoint {self.document.id}",
+            self.data.host,
+            self.document.failure_domain,
+        )
+        self.endpoint = endpoint_module.EndpointStandin(
+            self.endpoint_process.environment(typing.cast(typing.Any, None)),
+            address.Address(self.data.host, ENDPOINT_PORT),
+            self.profile,
+        )
+
+    def start_endpoint(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Run the endpoint in ``tasks``."""
+        virtual_process.spawn(tasks, self.endpoint_process, self.endpoint.run)
+
+    async def start_agent(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start the agent, or start it again after ``kill_agent``."""
+        self.process = self.network.process(
+            f"agent {self.document.id}",
+            self.data.host,
+            self.document.failure_domain,
+        )
+        ready = anyio.Event()
+        virtual_process.spawn(
+            tasks, self.process, lambda: self._run_agent(ready)
+        )
+        await ready.wait()
+
+    def kill_agent(self) -> None:
+        """End the agent at once."""
+        self.process.kill()
+
+    def _settings(self) -> settings_module.Settings:
+        return settings_module.Settings(
+            role="agent",
+            id=f"agent-{self.document.id}",
+            failure_domain=self.document.failure_domain,
+            keys=(balancer_rig.KEY,),
+            addresses=settings_module.Addresses(
+                self.document.data, self.document.control
+            ),
+            endpoint=settings_module.Endpoint(
+                service=SERVICE,
+                id=self.document.id,
+                address=f"{self.data.host}:{ENDPOINT_PORT}",
+                policy=self.policy,
+            ),
+            limits=self.limits,
+        )
+
+    async def _run_agent(self, ready: anyio.Event) -> None:
+        _load_modules()
+        env = self.process.environment(typing.cast(typing.Any, None))
+        kernel = self.kernel = kernel_module.Kernel(self._settings(), env)
+        for name in ("members", "sync"):
+            kernel.service_by_name[name] = typing.cast(
+                typing.Any, self.membership
+            )
+        async with anyio.create_task_group() as tasks:
+            for name in _STARTED:
+                entry = kernel_module.SERVICES.get(f"agent/{name}")
+                instance = entry.factory(kernel)
+                await instance.start()
+                kernel.service_by_name[name] = instance
+                if name == "view":
+                    service = self.service or service_document(
+                        (self.document,)
+                    )
+                    apply(kernel, self.revision, service)
+            for name in _STARTED:
+                tasks.start_soon(kernel.get(name).run)
+            kernel.started.set()
+            # Lets the endpoint's health be read once.
+            await anyio.sleep(0.01)
+            ready.set()
+
+    async def drain(self) -> None:
+        """Stop the agent gracefully."""
+        for name in reversed(_STARTED):
+            await self.kernel.get(name).drain()
+
+
+def _load_modules() -> None:
+    for name in services.MODULES_BY_ROLE["agent"]:
+        if "membership" not in name or name.endswith("view_store"):
+            importlib.import_module(name)
+
+
+class Sender:
+    """A process that sends frames to agents and collects what returns."""
+
+    def __init__(
+        self,
+        network: virtual_network.VirtualNetwork,
+        name: str = "sender",
+        host: str = "10.1.0.1",
+    ):
+        self.process = network.process(name, host)
+        self.sequence = 0
+        self.nonce = hash(name) & 0xFFFF
+        self.answers: list[coap.Message] = []
+        self.answer_frames: list[frames.Answer] = []
+        self.payloads: list[bytes] = []
+        self.probe_answers: list[frames.ProbeAnswer] = []
+        self.notices: list[frames.Notice] = []
+        self.answers_by_token: dict[bytes, list[coap.Message]] = (
+            collections.defaultdict(list)
+        )
+        self._changed = anyio.Event()
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Open the port and read it in ``tasks``."""
+        at = address.Address(self.process.host, DATA_PORT)
+        self._port = await self.process.open_datagram_port(at)
+        self.address = at
+        tasks.start_soon(self._read)
+
+    async def _read(self) -> None:
+        while True:
+            data, _ = await self._port.receive()
+            frame, _, payload = frames.decode(data, (KEY,))
+            if isinstance(frame, frames.Answer):
+                self._answered(frame, payload)
+            elif isinstance(frame, frames.ProbeAnswer):
+                self.probe_answers.append(frame)
+            elif isinstance(frame, frames.Notice):
+                self.notices.append(frame)
+            self._changed.set()
+            self._changed = anyio.Event()
+
+    def _answered(self, frame: frames.Answer, payload: bytes) -> None:
+        self.answer_frames.append(frame)
+        self.payloads.append(payload)
+        try:
+            message = coap.decode(payload)
+        except Exception:
+            return
+        self.answers.append(message)
+        if message.code:
+            self.answers_by_token[message.token].append(message)
+
+    def forward(
+        self,
+        rig: Rig,
+        data: bytes,
+        sequence: int | None = None,
+        **fields: typing.Any,
+    ) -> None:
+        """Send a FORWARD; ``fields`` replace its usual values."""
+        if sequence is None:
+            self.sequence += 1
+            sequence = self.sequence
+        values = {
+            "nonce": self.nonce,
+            "incarnation": rig.kernel.get("identity").incarnation,
+            "revision": rig.kernel.get("view").view.revision,
+            "service": SERVICE,
+            "service_address": SERVICE_ADDRESS,
+            "caller": CALLER,
+            "return_address": self.address,
+            "pinned": False,
+            "open": False,
+            **fields,
+        }
+        frame = frames.Forward(**values)
+        self._port.send(frames.encode(frame, KEY, sequence, data), rig.data)
+
+    def raw(self, rig: Rig, data: bytes) -> None:
+        """Send bytes that need be no frame."""
+        self._port.send(data, rig.data)
+
+    def probe(self, rig: Rig, caller: address.Address = CALLER) -> None:
+        """Send a PROBE."""
+        revision = rig.kernel.get("view").view.revision
+        frame = frames.Probe(1, revision, SERVICE, SERVICE_ADDRESS, caller)
+        self._port.send(frames.encode(frame, KEY), rig.data)
+
+    async def answer(self, token: bytes, within_s: float) -> coap.Message:
+        """Wait for the next answer to a token, and take it.
+
+        :raises TimeoutError: when none comes in time.
+        """
+        with anyio.fail_after(within_s):
+            while not self.answers_by_token[token]:
+                await self._changed.wait()
+        return self.answers_by_token[token].pop(0)
+
+
+def request(
+    method: str,
+    token: bytes,
+    mid: int = 1,
+    payload: bytes = b"",
+    pin: bytes = b"",
+    deadline_ms: int | None = None,
+    cancel: bool = False,
+    path: str = "bookings",
+    confirmable: bool = True,
+) -> bytes:
+    """Return an encoded request."""
+    code = {"GET": 1, "POST": 2, "PUT": 3, "DELETE": 4}[method]
+    kind = coap.CON if confirmable else coap.NON
+    message = coap.message(kind, code, mid, token, payload)
+    message.opt.uri_path = (path,)
+    if pin:
+        coap.set_option(message, coap.ECHO, pin)
+    if deadline_ms is not None:
+        coap.set_uint_option(message, coap.DEADLINE, deadline_ms)
+    if cancel:
+        coap.set_option(message, coap.CANCEL, b"")
+    return coap.encode(message)
--- /dev/null
+++ b/src/bramleypin/standins/endpoint.py
@@ -0,0 +1,445 @@
+"""A small CoAP endpoint for tests, benches and the demonstration.
+
+It has slots, a speed and a cold start during which it falls over under more
+work than it bears. It sheds, cancels, observes deadlines and keeps a log of
+every execution, by which tests count how often a request ran.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import random as random_module
+import typing
+
+import anyio
+import anyio.abc
+import cbor2
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.net import environment
+from bramleypin.internal.wire import coap
+
+REQUEST_TAG = 292
+BLOCK_BYTES = 1024
+_BLOCK_EXPONENT = 6
+
+ACK_AFTER_S = 0.5
+ACK_TIMEOUT_S = 2.0
+RETRANSMISSIONS = 4
+DUPLICATES_KEPT = 4_096
+
+NOT_FOUND = coap.code_number("4.04")
+HEALTH_PATH = (".well-known", "bramleypin")
+
+
+@dataclasses.dataclass
+class Profile:
+    """How an endpoint behaves; times are in seconds.
+
+    A request takes ``service_time_s / speed``, exponentially distributed if
+    ``exponential`` is set, and ``cold_factor`` times that while cold. While
+    cold, more requests than the ramp allows make it crash, and it restarts
+    ``restart_s`` later. Its health report shows the state of ``lag_s`` ago,
+    changed by ``lie`` if that is set; ``has_report`` turns it off.
+    """
+
+    slots: int = 5
+    cold_slots: int = 1
+    ramp_s: float = 0.0
+    service_time_s: float = 0.02
+    speed: float = 1.0
+    exponential: bool = False
+    cold_factor: float = 1.0
+    queue_limit: int = 0
+    restart_s: float | None = 1.0
+    block_time_s: float = 0.001
+    lag_s: float = 0.0
+    lie: typing.Callable[[dict], dict] | None = None
+    has_report: bool = True
+    knows_cancel: bool = True
+
+
+@dataclasses.dataclass
+class Execution:
+    """One run of a request; ``finished_s`` is ``None`` until it ends.
+
+    ``key`` is the request's body, or its path when it has none.
+    """
+
+    method: str
+    path: str
+    key: bytes
+    instance: int
+    started_s: float
+    finished_s: float | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class _Job:
+    message: coap.Message
+    source: address.Address
+    key: bytes
+    started: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    cancelled: bool = False
+    acknowledged: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _Seen:
+    time_s: float
+    report: dict
+
+
+class EndpointStandin:
+    """The endpoint; ``run`` serves it through crashes and restarts."""
+
+    def __init__(
+        self,
+        env: environment.Environment,
+        at: address.Address,
+        profile: Profile | None = None,
+    ):
+        self.profile = profile or Profile()
+        self.log: list[Execution] = []
+        self.content_by_path: dict[str, bytes] = {}
+        self.crashes = 0
+        self.falls = 0
+        self.shed = 0
+        self.instance = 0
+        self.running = 0
+        self.busy_s = 0.0
+        self.highest_in_flight = 0
+        self._environment = env
+        self._random: random_module.Random = env.random
+        self._address = at
+        self._started_s = 0.0
+        self._scope: anyio.CancelScope | None = None
+        self._restart = anyio.Event()
+        self._port: environment.DatagramPort
+        self._tasks: anyio.abc.TaskGroup
+        self._reset()
+
+    def _reset(self) -> None:
+        self.running = 0
+        self._waiting: collections.deque[_Job] = collections.deque()
+        self._job_by_token: dict[tuple, _Job] = {}
+        self._reply_by_mid: collections.OrderedDict[tuple, bytes] = (
+            collections.OrderedDict()
+        )
+        self._body_by_tag: dict[tuple, bytes] = {}
+        self._confirmed_by_mid: dict[int, anyio.Event] = {}
+        self._cancelled_tokens: set[tuple] = set()
+        self._mid = self._random.randrange(1 << 16)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        while True:
+            self._restart = anyio.Event()
+            await self._serve_instance()
+            if self.profile.restart_s is None:
+                await self._restart.wait()
+            else:
+                with anyio.move_on_after(self.profile.restart_s):
+                    await self._restart.wait()
+
+    async def _serve_instance(self) -> None:
+        self.instance = self._random.getrandbits(32)
+        self._started_s = anyio.current_time()
+        self._history: collections.deque[_Seen] = collections.deque()
+        self._reset()
+        self._port = await self._environment.open_datagram_port(self._address)
+        try:
+            with anyio.CancelScope() as self._scope:
+                async with anyio.create_task_group() as self._tasks:
+                    await self._read()
+        finally:
+            await self._port.aclose()
+
+    def crash(self) -> None:
+        """End the process; everything that it knew is gone."""
+        self.crashes += 1
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def restart(self) -> None:
+        """Start again at once after a crash."""
+        self._restart.set()
+
+    def turn_cold(self) -> None:
+        """Become cold without a restart and without saying so."""
+        self._started_s = anyio.current_time()
+
+    def bears(self) -> int:
+        """Return how many requests at once it bears now."""
+        profile = self.profile
+        age_s = anyio.current_time() - self._started_s
+        if profile.ramp_s <= 0 or age_s >= profile.ramp_s:
+            return profile.slots
+        rise = (profile.slots - profile.cold_slots) * age_s / profile.ramp_s
+        return profile.cold_slots + int(rise)
+
+    def is_cold(self) -> bool:
+        """Tell whether it bears less than all its slots."""
+        age_s = anyio.current_time() - self._started_s
+        return age_s < self.profile.ramp_s
+
+    def in_flight(self) -> int:
+        """Return the requests that run or wait here."""
+        return self.running + len(self._waiting)
+
+    def executions(self, key: bytes) -> list[Execution]:
+        """Return the runs of a request by its body or path."""
+        return [item for item in self.log if item.key == key]
+
+    async def _read(self) -> None:
+        while True:
+            data, source = await self._port.receive()
+            try:
+                self._receive(coap.decode(data), source)
+            except errors.InvalidFrame:
+                continue
+
+    def _receive(self, message: coap.Message, source: address.Address) -> None:
+        if message.mtype in (coap.ACK, coap.RST):
+            confirmed = self._confirmed_by_mid.get(message.mid)
+            if confirmed is not None:
+                confirmed.set()
+            return
+        if not coap.is_request(int(message.code)):
+            return
+        seen = self._reply_by_mid.get((source, message.mid))
+        if seen is not None:
+            if seen:
+                self._port.send(seen, source)
+            return
+        self._remember(message, source, b"")
+        self._handle(message, source)
+
+    def _handle(self, message: coap.Message, source: address.Address) -> None:
+        if coap.option(message, coap.CANCEL) is not None:
+            self._cancel(message, source)
+        elif message.opt.uri_path == HEALTH_PATH:
+            self._report(message, source)
+        elif (source, message.token) in self._cancelled_tokens:
+            self._reply(message, source, coap.SERVICE_UNAVAILABLE)
+        else:
+            self._accept(message, source)
+
+    def _remember(
+        self, message: coap.Message, source: address.Address, data: bytes
+    ) -> None:
+        self._reply_by_mid[(source, message.mid)] = data
+        if len(self._reply_by_mid) > DUPLICATES_KEPT:
+            self._reply_by_mid.popitem(last=False)
+
+    def _answer(
+        self, message: coap.Message, code: int, payload: bytes = b""
+    ) -> coap.Message:
+        kind = coap.ACK if message.mtype == coap.CON else coap.NON
+        return coap.message(kind, code, message.mid, message.token, payload)
+
+    def _reply(
+        self,
+        message: coap.Message,
+        source: address.Address,
+        code: int,
+        payload: bytes = b"",
+    ) -> None:
+        self._send(message, source, self._answer(message, code, payload))
+
+    def _send(
+        self,
+        message: coap.Message,
+        source: address.Address,
+        answer: coap.Message,
+    ) -> None:
+        data = coap.encode(answer)
+        self._remember(message, source, data)
+        self._port.send(data, source)
+
+    def _report(self, message: coap.Message, source: address.Address) -> None:
+        if not self.profile.has_report:
+            self._reply(message, source, NOT_FOUND)
+            return
+        now = anyio.current_time()
+        current = {
+            "instance": self.instance,
+            "running": self.running,
+            "state": "cold" if self.is_cold() else "ready",
+        }
+        self._history.append(_Seen(now, current))
+        while (
+            len(self._history) > 1
+            and self._history[1].time_s <= now - self.profile.lag_s
+        ):
+            self._history.popleft()
+        report = self._history[0].report
+        if self.profile.lie is not None:
+            report = self.profile.lie(dict(report))
+        self._reply(message, source, coap.CONTENT, cbor2.dumps(report))
+
+    def _cancel(self, message: coap.Message, source: address.Address) -> None:
+        if not self.profile.knows_cancel:
+            self._reply(message, source, coap.BAD_OPTION)
+            return
+        token = (source, message.token)
+        job = self._job_by_token.get(token)
+        if job is None or job in self._waiting:
+            self._cancelled_tokens.add(token)
+            if job is not None:
+                self._waiting.remove(job)
+                job.cancelled = True
+                job.started.set()
+            self._reply(message, source, coap.DELETED, b"cancelled before run")
+        else:
+            self._reply(message, source, coap.CONFLICT, b"running")
+
+    def _accept(self, message: coap.Message, source: address.Address) -> None:
+        body = self._assemble(message, source)
+        if body is None:
+            return
+        flying = self.in_flight()
+        if flying >= self.bears() and self.is_cold():
+            self.falls += 1
+            self.crash()
+            return
+        if flying >= self.profile.slots + self.profile.queue_limit:
+            self.shed += 1
+            self._reply(message, source, coap.SERVICE_UNAVAILABLE)
+            return
+        key = body or "/".join(message.opt.uri_path).encode()
+        job = _Job(message, source, key)
+        self._job_by_token[(source, message.token)] = job
+        if self.running < self.profile.slots:
+            self.running += 1
+            job.started.set()
+        else:
+            self._waiting.append(job)
+        self.highest_in_flight = max(self.highest_in_flight, self.in_flight())
+        self._tasks.start_soon(self._work, job)
+
+    def _assemble(
+        self, message: coap.Message, source: address.Address
+    ) -> bytes | None:
+        """Return the whole body; ``None`` when more blocks must come."""
+        block = message.opt.block1
+        if block is None:
+            return message.payload
+        tag = coap.option(message, REQUEST_TAG)
+        key = (source, message.opt.uri_path, tag)
+        before = self._body_by_tag.get(key, b"")
+        if len(before) != block.start:
+            self._reply(message, source, coap.REQUEST_ENTITY_INCOMPLETE)
+            return None
+        whole = before + message.payload
+        if not block.more:
+            self._body_by_tag.pop(key, None)
+            return whole
+        self._body_by_tag[key] = whole
+        answer = self._answer(message, coap.CONTINUE)
+        answer.opt.block1 = block
+        self._send(message, source, answer)
+        return None
+
+    async def _work(self, job: _Job) -> None:
+        await job.started.wait()
+        if job.cancelled:
+            return
+        if self._is_too_late(job.message):
+            self._reply(job.message, job.source, coap.SERVICE_UNAVAILABLE)
+        else:
+            await self._execute(job)
+        self._finish(job)
+
+    def _is_too_late(self, message: coap.Message) -> bool:
+        return coap.uint_option(message, coap.DEADLINE) == 0
+
+    async def _execute(self, job: _Job) -> None:
+        message = job.message
+        now = anyio.current_time()
+        execution = Execution(
+            coap.method_name(int(message.code)),
+            "/".join(message.opt.uri_path),
+            job.key,
+            self.instance,
+            now,
+        )
+        self.log.append(execution)
+        took_s = self._duration_s(message)
+        if took_s > ACK_AFTER_S:
+            await anyio.sleep(ACK_AFTER_S)
+            self._acknowledge(job)
+            await anyio.sleep(took_s - ACK_AFTER_S)
+        else:
+            await anyio.sleep(took_s)
+        execution.finished_s = anyio.current_time()
+        self.busy_s += took_s
+        self._respond(job)
+
+    def _duration_s(self, message: coap.Message) -> float:
+        profile = self.profile
+        block = message.opt.block2
+        if block is not None and block.block_number > 0:
+            return profile.block_time_s
+        mean_s = profile.service_time_s / profile.speed
+        if self.is_cold():
+            mean_s *= profile.cold_factor
+        if profile.exponential:
+            return self._random.expovariate(1 / mean_s)
+        return mean_s
+
+    def _acknowledge(self, job: _Job) -> None:
+        if job.message.mtype == coap.CON:
+            job.acknowledged = True
+            empty = coap.message(coap.ACK, 0, job.message.mid)
+            self._send(job.message, job.source, empty)
+
+    def _respond(self, job: _Job) -> None:
+        answer = self._content(job)
+        if not job.acknowledged:
+            self._send(job.message, job.source, answer)
+            return
+        self._mid = (self._mid + 1) % (1 << 16)
+        answer.mtype = coap.CON
+        answer.mid = self._mid
+        self._tasks.start_soon(self._confirm, answer, job.source)
+
+    async def _confirm(
+        self, answer: coap.Message, source: address.Address
+    ) -> None:
+        confirmed = anyio.Event()
+        self._confirmed_by_mid[answer.mid] = confirmed
+        wait_s = ACK_TIMEOUT_S
+        for _ in range(RETRANSMISSIONS):
+            self._port.send(coap.encode(answer), source)
+            with anyio.move_on_after(wait_s):
+                await confirmed.wait()
+                break
+            wait_s *= 2
+        self._confirmed_by_mid.pop(answer.mid, None)
+
+    def _content(self, job: _Job) -> coap.Message:
+        message = job.message
+        if message.code != coap.code_number("0.01"):
+            return self._answer(message, coap.CHANGED, job.key[:64])
+        path = "/".join(message.opt.uri_path)
+        content = self.content_by_path.get(path, path.encode())
+        block = message.opt.block2
+        number = 0 if block is None else block.block_number
+        start = number * BLOCK_BYTES
+        part = content[start : start + BLOCK_BYTES]
+        answer = self._answer(message, coap.CONTENT, part)
+        answer.opt.etag = hashlib.blake2s(content, digest_size=8).digest()
+        if block is not None or len(content) > BLOCK_BYTES:
+            more = start + BLOCK_BYTES < len(content)
+            answer.opt.block2 = (number, more, _BLOCK_EXPONENT)
+        return answer
+
+    def _finish(self, job: _Job) -> None:
+        self._job_by_token.pop((job.source, job.message.token), None)
+        self.running -= 1
+        while self._waiting and self.running < self.profile.slots:
+            following = self._waiting.popleft()
+            self.running += 1
+            following.started.set()
