Let turned away flows go, and drop what waited during a pause

Cause: a flow whose request was shed stayed with the full agent, and the age of datagrams that waited while a process was paused is not known. Change: a flow without other work is released with its "not run" answer; a decision of the home ends when its agent answers no probe; overdue ticks show a pause, after which buffered frames are dropped and counted.

--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -135,15 +135,18 @@
 
         The ticket is started or closed here, at the moment of the decision.
         """
+        if anyio.current_time() >= deadline_s:
+            return self._expire(ticket)
         if self.endpoint_down:
             return self._refuse(ticket)
         if not self.line and self.running < self.limit():
             return self._take_slot(ticket)
         if not self._make_room(caller):
             return self._refuse(ticket)
-        waiter = waiting_line.Waiter(caller, ticket, anyio.Event())
+        leave_s = deadline_s - self.times.mean_s
+        waiter = waiting_line.Waiter(caller, ticket, leave_s, anyio.Event())
         self.line.append(waiter)
-        await self._wait(waiter, deadline_s - self.times.mean_s)
+        await self._wait(waiter)
         return self._verdict(waiter)
 
     def _take_slot(self, ticket: requests.Ticket) -> Verdict:
@@ -170,8 +173,8 @@
         displaced.woken.set()
         return True
 
-    async def _wait(self, waiter: waiting_line.Waiter, until_s: float) -> None:
-        with anyio.move_on_after(until_s - anyio.current_time()):
+    async def _wait(self, waiter: waiting_line.Waiter) -> None:
+        with anyio.move_on_after(waiter.leave_s - anyio.current_time()):
             await waiter.woken.wait()
         self.line.remove(waiter)
 
@@ -179,19 +182,23 @@
         ticket = waiter.ticket
         if ticket.state is requests.TicketState.RUNNING:
             return Verdict.ADMITTED
-        if not ticket.close():
-            return Verdict.CLOSED
-        if waiter.woken.is_set():
-            return Verdict.SHED
+        if anyio.current_time() >= waiter.leave_s:
+            return self._expire(ticket)
+        return Verdict.SHED if ticket.close() else Verdict.CLOSED
+
+    def _expire(self, ticket: requests.Ticket) -> Verdict:
         self._metrics.count(EXPIRED)
-        return Verdict.EXPIRED
+        return Verdict.EXPIRED if ticket.close() else Verdict.CLOSED
 
     def _admit_waiting(self) -> None:
         while self.line and self.running < self.limit():
             waiter = self.line.take()
-            if waiter is not None:
+            if waiter is None:
+                return
+            # A process that was paused finds entries that are overdue.
+            if anyio.current_time() < waiter.leave_s:
                 self._take_slot(waiter.ticket)
-                waiter.woken.set()
+            waiter.woken.set()
 
     def forget(self, ticket: requests.Ticket) -> None:
         """Take a request that was closed out of the queue at once."""
--- a/src/bramleypin/internal/agent/flows.py
+++ b/src/bramleypin/internal/agent/flows.py
@@ -88,7 +88,9 @@
         limit = kernel.settings.limits.request_records
         self.records = requests.RecordTable(limit)
         self.replies = replies_module.Replies(kernel)
-        runner = runner_module.Runner(kernel, self.replies, self.records)
+        runner = runner_module.Runner(
+            kernel, self.replies, self.records, self.release
+        )
         self.rules = rules_module.Rules(
             kernel, self.replies, self.records, runner, self._start_soon
         )
@@ -231,6 +233,11 @@
         if flow is not None:
             self._close(flow)
 
+    def release(self, flow: flow_module.Flow) -> None:
+        """Let a flow go, whose requests have been turned away."""
+        if self._flow_by_id.get(flow.flow_id) is flow:
+            self._close(flow)
+
     def _close(self, flow: flow_module.Flow) -> None:
         """Forget a flow; its requests' records stay for their lifetime."""
         del self._flow_by_id[flow.flow_id]
--- a/src/bramleypin/internal/agent/opening.py
+++ b/src/bramleypin/internal/agent/opening.py
@@ -17,6 +17,10 @@
 DECISION_LIFETIME_S = 30.0
 DECISIONS_LIMIT = 65_536
 
+# Two balancers that open a flow from copies of one datagram do so within
+# this time.
+CONCURRENT_S = 1.0
+
 _ADMITTING = (frames.State.READY, frames.State.COLD)
 
 
@@ -51,12 +55,28 @@
     def __len__(self) -> int:
         return len(self._decision_by_key)
 
-    def get(self, key: flow_module.Key) -> frames.Candidate | None:
-        """Return the agent chosen for a flow within the last 30 s."""
+    def get(
+        self,
+        key: flow_module.Key,
+        candidates: tuple[frames.Candidate, ...] = (),
+    ) -> frames.Candidate | None:
+        """Return the agent chosen for a flow within the last 30 s.
+
+        With ``candidates``, the decision holds only while the agent is among
+        them and, after the time in which several balancers may open the flow
+        at once, while it admits.
+        """
         decision = self._decision_by_key.get(key)
-        if decision is None or decision.until_s < anyio.current_time():
+        now = anyio.current_time()
+        if decision is None or decision.until_s < now:
             return None
-        return decision.chosen
+        if not candidates:
+            return decision.chosen
+        recent = now < decision.until_s - DECISION_LIFETIME_S + CONCURRENT_S
+        for item in candidates:
+            if item.data == decision.chosen.data:
+                return item if recent or admits(item) else None
+        return None
 
     def decide(
         self,
--- a/src/bramleypin/internal/agent/receiver.py
+++ b/src/bramleypin/internal/agent/receiver.py
@@ -11,6 +11,7 @@
 from bramleypin.internal.agent import flows as flows_module
 from bramleypin.internal.agent import identity as identity_module
 from bramleypin.internal.agent import opening
+from bramleypin.internal.agent import pauses
 from bramleypin.internal.agent import standing as standing_module
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
@@ -41,6 +42,7 @@
     "replayed": "The frame was seen before or is too old.",
     "coap_format": "The caller's datagram is no CoAP message.",
     "no_request": "The message is no request and confirms no answer.",
+    "paused": "It waited in a buffer while the process was paused.",
     "unexpected": "A field of a signed frame had a wrong type.",
     "not_admitting": "A new flow came while none is taken.",
 }
@@ -85,6 +87,7 @@
         self._standing = standing_module.Standing(kernel)
         self._replay = replay.ReplayFilter()
         self._decisions = opening.Decisions(kernel.environment.random)
+        self._pauses = pauses.Pauses()
         self._keys = kernel.settings.key_bytes
         self._data = kernel.settings.addresses.data_address
         self._control = kernel.settings.addresses.control_address
@@ -93,6 +96,12 @@
     async def run(self) -> None:
         """Read frames until cancelled."""
         await self.kernel.started.wait()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pauses.run)
+            await self._read()
+            tasks.cancel_scope.cancel()
+
+    async def _read(self) -> None:
         try:
             while True:
                 item = await self._port.receive()
@@ -100,6 +109,7 @@
                     self._receive(*item)
                     item = self._port.receive_nowait()
                     if item is None:
+                        self._pauses.buffer_is_empty()
                         break
                 else:
                     self._receive(*item)
@@ -107,6 +117,10 @@
             return
 
     def _receive(self, data: bytes, sender: address.Address) -> None:
+        if self._pauses.was_paused():
+            # Nobody measured how long it waited, so its deadline is unknown.
+            self._drop("paused", str(sender))
+            return
         try:
             frame, sequence, payload = frames.decode(data, self._keys)
             if isinstance(frame, frames.Forward):
@@ -297,11 +311,17 @@
         Only a frame with ``open`` is passed on, and without ``open``, so that
         it goes through two agents at most.
         """
-        chosen = self._decisions.get(arrival.key)
+        offered = arrival.forward.candidates
+        current = tuple(
+            self._refreshed(item)
+            for item in offered
+            if self._standing.takes_new_flows(item.data)
+        )
+        chosen = self._decisions.get(arrival.key, current)
         reason = "decided_before"
         if chosen is None:
-            offered = arrival.forward.candidates or (self._own_candidate(),)
-            current = tuple(self._refreshed(item) for item in offered)
+            if not offered:
+                current = (self._own_candidate(),)
             chosen = self._decisions.decide(arrival.key, current)
             reason = "least_loaded"
         if chosen is None:
--- a/src/bramleypin/internal/agent/replies.py
+++ b/src/bramleypin/internal/agent/replies.py
@@ -49,9 +49,9 @@
         self._random = kernel.environment.random
         self._service = kernel.settings.endpoint.service
         self._owner = kernel.settings.addresses.data_address
-        self._unanswered: collections.deque[tuple[float, requests.Record]] = (
-            collections.deque()
-        )
+        self._unanswered: collections.deque[
+            tuple[float, flow_module.Flow, requests.Record]
+        ] = collections.deque()
         self._added = anyio.Event()
 
     def pin_of(self, flow: flow_module.Flow) -> bytes:
@@ -93,16 +93,18 @@
         answer.token = token
         self.transmit(copy, coap.encode(answer), pin)
 
-    def acknowledge(self, copy: requests.Copy) -> None:
+    def acknowledge(self, copy: requests.Copy, pin: bytes) -> None:
         """Send an empty ACK: the answer comes separately."""
         if copy.confirmable:
             empty = coap.message(coap.ACK, 0, copy.mid)
-            self.transmit(copy, coap.encode(empty))
+            self.transmit(copy, coap.encode(empty), pin)
 
-    def announce_later(self, record: requests.Record) -> None:
+    def announce_later(
+        self, flow: flow_module.Flow, record: requests.Record
+    ) -> None:
         """Acknowledge the request if it is not answered within a second."""
         due_s = anyio.current_time() + ANNOUNCE_AFTER_S
-        self._unanswered.append((due_s, record))
+        self._unanswered.append((due_s, flow, record))
         self._added.set()
 
     async def run_announcements(self) -> None:
@@ -111,11 +113,11 @@
             if not self._unanswered:
                 self._added = anyio.Event()
                 await self._added.wait()
-            due_s, record = self._unanswered.popleft()
+            due_s, flow, record = self._unanswered.popleft()
             await anyio.sleep(max(0.0, due_s - anyio.current_time()))
             if not record.ticket.is_done and record.newest.confirmable:
                 record.announced = True
-                self.acknowledge(record.newest)
+                self.acknowledge(record.newest, self.pin_of(flow))
 
     async def send_separately(
         self, flow: flow_module.Flow, record: requests.Record
--- a/src/bramleypin/internal/agent/rules.py
+++ b/src/bramleypin/internal/agent/rules.py
@@ -140,7 +140,7 @@
             self._answer(arrival, runner_module.not_run("too many requests"))
             return
         if record.newest.confirmable:
-            self._replies.announce_later(record)
+            self._replies.announce_later(flow, record)
         self._start(self._runner.run, flow, record, arrival.message)
 
     def _check_pin(
@@ -217,14 +217,14 @@
                 coap.Outcome.INVALID,
                 "this token was used for another request",
             )
-            self._answer(arrival, answer)
+            self._answer(arrival, answer, flow)
             return
         self._metrics.count(DUPLICATES)
         record.newest = replies_module.copy_of(arrival)
         if record.ticket.is_done and record.answer is not None:
             self._runner.repeat(flow, record)
         elif record.announced:
-            self._replies.acknowledge(record.newest)
+            self._acknowledge(flow, record)
 
     def _cancel(
         self,
@@ -246,15 +246,23 @@
         elif record.answer is not None:
             self._runner.repeat(flow, record)
         else:
-            self._cancel_running(record)
+            self._cancel_running(flow, record)
 
-    def _cancel_running(self, record: requests.Record) -> None:
+    def _cancel_running(
+        self, flow: flow_module.Flow, record: requests.Record
+    ) -> None:
         if record.running is not None:
             record.running.cancel()
         if record.announced:
-            self._replies.acknowledge(record.newest)
+            self._acknowledge(flow, record)
         else:
-            self._replies.announce_later(record)
+            self._replies.announce_later(flow, record)
+
+    def _acknowledge(
+        self, flow: flow_module.Flow, record: requests.Record
+    ) -> None:
+        pin = self._replies.pin_of(flow)
+        self._replies.acknowledge(record.newest, pin)
 
     def _cancel_unseen(
         self, flow: flow_module.Flow, arrival: flow_module.Arrival
@@ -272,7 +280,7 @@
             answer = runner_module.not_run("cancelled before it ran")
         if idempotent or status is _Status.FRESH:
             self._close_unseen(flow.flow_id, arrival, answer)
-        self._answer(arrival, answer)
+        self._answer(arrival, answer, flow)
 
     def _answer(
         self,
@@ -280,7 +288,11 @@
         answer: coap.Message,
         flow: flow_module.Flow | None = None,
     ) -> None:
-        """Answer an arrival that has no record of its own."""
+        """Answer an arrival that has no record of its own.
+
+        Without a flow, the answer has no pin, and the balancer learns that
+        this agent does not hold the flow.
+        """
         pin = b"" if flow is None else self._replies.pin_of(flow)
         copy = replies_module.copy_of(arrival)
         self._replies.send_once(copy, answer, arrival.message.token, pin)
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -1,5 +1,7 @@
 """Runs one request: admission, the endpoint, and the conclusion."""
 
+import typing
+
 import anyio
 
 from bramleypin.internal.agent import admission as admission_module
@@ -56,7 +58,9 @@
         kernel: kernel_module.Kernel,
         replies: replies_module.Replies,
         records: requests.RecordTable,
+        release: typing.Callable[[flow_module.Flow], None],
     ):
+        self._release = release
         self._admission: admission_module.Admission = kernel.get("admission")
         self._endpoint = kernel.get("endpoint")
         self._outcomes = kernel.get("outcomes")
@@ -81,7 +85,7 @@
                 await self._run_admitted(flow, record, message)
             elif record.answer is None:
                 reason = _REASON_BY_VERDICT[verdict]
-                self.conclude(flow, record, not_run(reason))
+                self._turn_away(flow, record, not_run(reason))
             if record.announced and record.newest.confirmable:
                 await self._replies.send_separately(flow, record)
         finally:
@@ -187,7 +191,7 @@
             channel_module.End.CANCELLED,
         ):
             record.ticket.move(requests.TicketState.CLOSED)
-            self.conclude(flow, record, not_run(f"endpoint: {end.value}"))
+            self._turn_away(flow, record, not_run(f"endpoint: {end.value}"))
         else:
             record.ticket.move(requests.TicketState.UNKNOWN)
             self.conclude(flow, record, unknown("the endpoint failed"))
@@ -207,12 +211,30 @@
                 "the endpoint shed the request",
                 RETRY_AFTER_S if wait_s is None else wait_s,
             )
+            self._turn_away(flow, record, answer)
         else:
             now = anyio.current_time()
             self._admission.answered(now - exchange.started_s)
             record.ticket.move(requests.TicketState.ANSWERED)
-            answer = _for_caller(response)
             flow.note_transfer(_has_more(response))
+            self.conclude(flow, record, _for_caller(response))
+
+    def _turn_away(
+        self,
+        flow: flow_module.Flow,
+        record: requests.Record,
+        answer: coap.Message,
+    ) -> None:
+        """Answer "not run", and let the flow go if nothing holds it here.
+
+        The caller's next request then opens the flow anew, at an endpoint
+        that has room.
+        """
+        goes = flow.active == 1 and not flow.inbox
+        in_transfer = anyio.current_time() < flow.transfer_until_s
+        if goes and not in_transfer and not record.announced:
+            record.lets_go = True
+            self._release(flow)
         self.conclude(flow, record, answer)
 
     def conclude(
@@ -236,11 +258,9 @@
 
     def repeat(self, flow: flow_module.Flow, record: requests.Record) -> None:
         """Send the stored answer to where the newest copy came from."""
+        pin = b"" if record.lets_go else self._replies.pin_of(flow)
         self._replies.send_once(
-            record.newest,
-            record.answer,
-            record.key[1],
-            self._replies.pin_of(flow),
+            record.newest, record.answer, record.key[1], pin
         )
 
 
--- a/src/bramleypin/internal/agent/standing.py
+++ b/src/bramleypin/internal/agent/standing.py
@@ -62,6 +62,18 @@
         members: typing.Any = self._kernel.service_by_name.get("members")
         return members is not None and members.is_leaving(self._data)
 
+    def takes_new_flows(self, data: address.Address) -> bool:
+        """Tell whether the view lets the agent at an address take flows.
+
+        An agent that the view does not have yet may be new, so it may.
+        """
+        service = self.service()
+        for item in () if service is None else service.endpoints:
+            if item.data == data:
+                out = self.view.is_out(item.failure_domain)
+                return not out and not item.leaving
+        return True
+
     def may_deliver(self, service: str, at: address.Address) -> bool:
         """Tell whether a datagram for a service address belongs here."""
         return (
--- a/src/bramleypin/internal/agent/waiting_line.py
+++ b/src/bramleypin/internal/agent/waiting_line.py
@@ -11,10 +11,14 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiter:
-    """A request in the queue; ``woken`` is set when its fate is decided."""
+    """A request in the queue; ``woken`` is set when its fate is decided.
+
+    At ``leave_s`` its deadline is too near for it to be started.
+    """
 
     caller: address.Address
     ticket: requests.Ticket
+    leave_s: float
     woken: anyio.Event
 
 
