Forget the owner of a flow when its agent answers without a pin

Cause: the answer "not run" of a home that admits nobody made the balancer cache the home as the owner, so the caller's retry came to the same agent. Change: a CoAP answer without a pin removes the cache entry; agents send one only for flows that they do not hold.

--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -475,6 +475,10 @@
     ) -> address.Address | None:
         entry = self.cache.get(key)
         via = None if entry is None else entry.via
+        if not answer.pin and entry is not None and entry.pin is not None:
+            # The agent turned the request away and does not hold the flow.
+            del self.cache[key]
+            return via
         if (
             entry is not None
             and not entry.home
@@ -486,6 +490,8 @@
         self.agents.learn(answer.owner, answer.incarnation)
         service = self._view.service(answer.service)
         is_coap = service is None or service.protocol == "coap"
+        if is_coap and not answer.pin:
+            return via
         entry = flow_cache.Entry(
             service=answer.service,
             owner=answer.owner,
