--- /dev/null
+++ b/src/bramleypin/demo/deployment.py
@@ -0,0 +1,356 @@
+"""Lone Star's deployment, small, on loopback: all parts in one process.
+
+Every process of the system gets its own loopback host and real sockets; only
+operating system processes are saved, since the system must start none.
+"""
+
+import dataclasses
+import os
+import random
+import typing
+
+import anyio
+import anyio.abc
+import msgspec
+
+from bramleypin import daemon
+from bramleypin.internal import address
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.model import configuration
+from bramleypin.internal.model import vms
+from bramleypin.internal.net import environment
+from bramleypin.internal import services
+from bramleypin import settings as settings_module
+from bramleypin.standins import endpoint as endpoint_module
+from bramleypin.standins import fabric as fabric_module
+from bramleypin.standins import platform as platform_module
+
+DOMAINS = ("austin", "waco", "san-marcos")
+SPEED_BY_DOMAIN = {"austin": 1.0, "waco": 2.0, "san-marcos": 4.0}
+SLOTS = 5
+RAMP_S = 2.0
+START_TIMEOUT_S = 10.0
+SERVICE_TIME_S = 0.08
+PLAN_BYTES = 24_000
+
+DATA_PORT = 7000
+CONTROL_PORT = 7001
+INGRESS_PORT = 7002
+ENDPOINT_PORT = 7003
+SERVICE_PORT = 5683
+
+
+def _network() -> str:
+    """Return the first two numbers of this run's loopback hosts.
+
+    Two demonstrations at the same time get different ones in most cases.
+    """
+    return f"127.{64 + os.getpid() % 128}"
+
+
+@dataclasses.dataclass
+class Host:
+    """One VM of the demonstration and the daemon that runs on it."""
+
+    settings: settings_module.Settings
+    kernel: kernel_module.Kernel | None = None
+    stopped: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    arrivals_s: list[float] = dataclasses.field(default_factory=list)
+
+    @property
+    def vm(self) -> vms.Vm:
+        """The host's entry in the VM list."""
+        item = self.settings
+        return vms.Vm(
+            item.id,
+            item.role,
+            item.failure_domain,
+            item.addresses.data,
+            item.addresses.control,
+        )
+
+
+class _CountingPort:
+    """A datagram port that notes when datagrams arrive."""
+
+    def __init__(
+        self, port: environment.DatagramPort, arrivals_s: list[float]
+    ):
+        self._port = port
+        self._arrivals_s = arrivals_s
+        self.address = port.address
+        self.send = port.send
+        self.aclose = port.aclose
+
+    async def receive(self) -> tuple[bytes, address.Address]:
+        """Wait for a datagram and note the time."""
+        found = await self._port.receive()
+        self._arrivals_s.append(anyio.current_time())
+        return found
+
+    def receive_nowait(self) -> tuple[bytes, address.Address] | None:
+        """Return a datagram that has arrived and note the time."""
+        found = self._port.receive_nowait()
+        if found is not None:
+            self._arrivals_s.append(anyio.current_time())
+        return found
+
+
+class Deployment:
+    """The parts of the demonstration and the operators' changes to them."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup, seed: int):
+        self.tasks = tasks
+        self.network = _network()
+        self.random = random.Random(seed)
+        self.platform = platform_module.MemoryPlatform()
+        self.publisher = platform_module.Publisher(self.platform)
+        self.revision = 0
+        self.vms_version = 0
+        self.out_domains: set[str] = set()
+        self.host_by_id: dict[str, Host] = {}
+        self.standin_by_id: dict[str, endpoint_module.EndpointStandin] = {}
+        self.endpoints_by_service: dict[
+            str, dict[str, configuration.Endpoint]
+        ] = {"scheduler": {}, "planstore": {}}
+        self.address_by_service = {
+            "scheduler": address.Address(f"{self.network}.0.1", SERVICE_PORT),
+            "planstore": address.Address(f"{self.network}.0.2", SERVICE_PORT),
+        }
+        self._hosts_in_domain = dict.fromkeys(DOMAINS, 0)
+        self._url = ""
+
+    async def start(self) -> None:
+        """Start everything and wait until the configuration is in force."""
+        for role in services.MODULES_BY_ROLE:
+            services.load(role)
+        server = platform_module.HttpServer(self.platform)
+        where = await self.tasks.start(server.serve)
+        self._url = f"http://{where}"
+        for domain in DOMAINS:
+            self._add_balancer(f"entry-{domain}", domain)
+            for service in self.endpoints_by_service:
+                self.add_endpoint(service, domain)
+        self.publish()
+        for host in self.host_by_id.values():
+            self._start_host(host)
+        with anyio.fail_after(START_TIMEOUT_S):
+            for host in self.host_by_id.values():
+                await self._in_force(host)
+        await self._start_fabric()
+
+    async def _start_fabric(self) -> None:
+        self.environment = daemon.real_environment(
+            self._any_balancer().settings
+        )
+        self.fabric = fabric_module.Fabric(
+            self.environment,
+            list(self.address_by_service.values()),
+            address.Address(f"{self.network}.0.9", INGRESS_PORT),
+            self._ingress_addresses(),
+            self.random,
+        )
+        self.tasks.start_soon(self.fabric.run)
+        await self.fabric.ready.wait()
+
+    def _any_balancer(self) -> Host:
+        return self.host_by_id[f"entry-{DOMAINS[0]}"]
+
+    def _ingress_addresses(self) -> list[address.Address]:
+        return [
+            address.parse(host.settings.ingress.address)
+            for host in self.host_by_id.values()
+            if host.settings.role == "balancer" and not host.stopped.is_set()
+        ]
+
+    def _next_host(self, domain: str) -> str:
+        self._hosts_in_domain[domain] += 1
+        number = self._hosts_in_domain[domain]
+        return f"{self.network}.{DOMAINS.index(domain) + 1}.{number}"
+
+    def _settings(
+        self, role: str, own_id: str, domain: str, host: str
+    ) -> settings_module.Settings:
+        return settings_module.Settings(
+            role=role,
+            id=own_id,
+            failure_domain=domain,
+            keys=("6b" * settings_module.KEY_BYTES,),
+            addresses=settings_module.Addresses(
+                f"{host}:{DATA_PORT}", f"{host}:{CONTROL_PORT}"
+            ),
+            platform=settings_module.Platform(self._url),
+        )
+
+    def _add_balancer(self, own_id: str, domain: str) -> Host:
+        host = self._next_host(domain)
+        made = msgspec.structs.replace(
+            self._settings("balancer", own_id, domain, host),
+            ingress=settings_module.Ingress(
+                "proxied", f"{host}:{INGRESS_PORT}"
+            ),
+        )
+        self.host_by_id[own_id] = Host(made)
+        return self.host_by_id[own_id]
+
+    def add_endpoint(self, service: str, domain: str) -> Host:
+        """Add an endpoint VM with its agent to a service."""
+        number = len(self.endpoints_by_service[service]) + 1
+        own_id = f"{service}-{number}"
+        host = self._next_host(domain)
+        at = f"{host}:{ENDPOINT_PORT}"
+        made = msgspec.structs.replace(
+            self._settings("agent", own_id, domain, host),
+            endpoint=settings_module.Endpoint(service, own_id, at),
+        )
+        self.host_by_id[own_id] = Host(made)
+        self.endpoints_by_service[service][own_id] = configuration.Endpoint(
+            id=own_id,
+            failure_domain=domain,
+            data=made.addresses.data,
+            control=made.addresses.control,
+            slots=SLOTS,
+            ramp_s=RAMP_S,
+            weight=SPEED_BY_DOMAIN[domain],
+        )
+        self._start_standin(own_id, made, domain)
+        return self.host_by_id[own_id]
+
+    def _start_standin(
+        self, own_id: str, made: settings_module.Settings, domain: str
+    ) -> None:
+        profile = endpoint_module.Profile(
+            slots=SLOTS,
+            ramp_s=RAMP_S,
+            service_time_s=SERVICE_TIME_S,
+            speed=SPEED_BY_DOMAIN[domain],
+        )
+        standin = endpoint_module.EndpointStandin(
+            daemon.real_environment(made),
+            made.endpoint.endpoint_address,
+            profile,
+        )
+        standin.content_by_path["plans/house"] = bytes(PLAN_BYTES)
+        self.standin_by_id[own_id] = standin
+        self.tasks.start_soon(standin.run)
+
+    def _start_host(self, host: Host) -> None:
+        env = daemon.real_environment(host.settings)
+        opened = env.open_datagram_port
+
+        async def open_counting(
+            at: address.Address,
+        ) -> environment.DatagramPort:
+            return _CountingPort(await opened(at), host.arrivals_s)
+
+        env.open_datagram_port = open_counting
+        host.kernel = kernel_module.Kernel(host.settings, env)
+        self.tasks.start_soon(self._run_host, host)
+
+    async def _run_host(self, host: Host) -> None:
+        await host.kernel.run()
+        host.stopped.set()
+
+    async def _in_force(self, host: Host) -> None:
+        await host.kernel.started.wait()
+        store = host.kernel.get("view")
+        await store.wait_for_change(self.revision - 1)
+
+    def publish(self) -> None:
+        """Publish the next revision and the VM list."""
+        self.revision += 1
+        documents = [
+            configuration.Service(
+                name=name,
+                addresses=(str(self.address_by_service[name]),),
+                endpoints=tuple(endpoints.values()),
+            )
+            for name, endpoints in self.endpoints_by_service.items()
+        ]
+        domains = {
+            name: configuration.FailureDomain(
+                "texas", name in self.out_domains
+            )
+            for name in DOMAINS
+        }
+        self.publisher.publish(self.revision, documents, domains)
+        self.vms_version += 1
+        listed = [
+            host.vm
+            for host in self.host_by_id.values()
+            if not host.stopped.is_set()
+        ]
+        self.publisher.publish_vms(self.vms_version, listed)
+
+    def _revise(self, service: str, own_id: str, **fields: object) -> None:
+        endpoints = self.endpoints_by_service[service]
+        endpoints[own_id] = msgspec.structs.replace(
+            endpoints[own_id], **fields
+        )
+        self.publish()
+
+    async def revise_weight(self) -> None:
+        """Give an endpoint another weight."""
+        self._revise("scheduler", "scheduler-1", weight=1.5)
+
+    async def endpoint_leaves(self) -> None:
+        """Let an endpoint leave: it keeps the flows that it has."""
+        self._revise("scheduler", "scheduler-2", state="leaving")
+
+    async def endpoint_joins(self) -> None:
+        """Start a new endpoint, which is cold."""
+        host = self.add_endpoint("scheduler", "san-marcos")
+        self.publish()
+        self._start_host(host)
+        await self._in_force(host)
+
+    async def balancer_stops(self) -> None:
+        """Take a balancer out of the fabric and stop it gracefully."""
+        host = self.host_by_id["entry-san-marcos"]
+        gone = address.parse(host.settings.ingress.address)
+        self.fabric.balancers.remove(gone)
+        host.kernel.shutdown()
+        await host.stopped.wait()
+        self.publish()
+
+    async def balancer_joins(self) -> None:
+        """Start a new balancer with an empty flow cache."""
+        host = self._add_balancer("entry-new", "san-marcos")
+        self.publish()
+        self._start_host(host)
+        await self._in_force(host)
+        self.fabric.balancers.append(
+            address.parse(host.settings.ingress.address)
+        )
+
+    async def domain_out(self) -> None:
+        """Take a failure domain out of service."""
+        self.out_domains.add("waco")
+        self.publish()
+
+    async def domain_returns(self) -> None:
+        """Bring the failure domain back."""
+        self.out_domains.discard("waco")
+        self.publish()
+
+    def domain_of(self, endpoint_id: str) -> str:
+        """Return an endpoint's failure domain."""
+        return self.host_by_id[endpoint_id].settings.failure_domain
+
+    def arrivals(self, domain: str) -> list[float]:
+        """Return when datagrams of the data path reached a domain."""
+        return [
+            time_s
+            for host in self.host_by_id.values()
+            if host.settings.failure_domain == domain
+            and host.settings.role == "agent"
+            for time_s in host.arrivals_s
+        ]
+
+    def executions(
+        self,
+    ) -> typing.Iterator[tuple[str, endpoint_module.Execution]]:
+        """Yield all runs of requests, with the endpoint's id."""
+        for own_id, standin in self.standin_by_id.items():
+            for item in standin.log:
+                yield own_id, item
--- /dev/null
+++ b/src/bramleypin/demo/outcome.py
@@ -0,0 +1,175 @@
+"""What the demonstration measured, from what callers and endpoints saw."""
+
+import collections
+import dataclasses
+
+from bramleypin import client as client_module
+from bramleypin.demo import deployment as deployment_module
+from bramleypin.demo import traffic
+
+OUT_BOUND_S = 3.0
+
+_KIND_BY_RESULT = {
+    client_module.Answered: "answered",
+    client_module.NotRun: "not_run",
+    client_module.Unknown: "unknown",
+    client_module.Invalid: "invalid",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The figures of one run; the last five must be 0.
+
+    ``imbalance`` is the highest over the mean of the endpoints' busy time,
+    each divided by its slots, over the endpoints that served all the time.
+    ``flows_broken`` counts established flows that another endpoint served
+    although their own was not taken out and had not refused for want of
+    room. ``packets_after_out`` counts datagrams that reached a failure domain
+    later than 3 s after it was taken out.
+    """
+
+    requests: int
+    answered: int
+    not_run: int
+    unknown: int
+    invalid: int
+    shed_by_endpoints: int
+    flows: int
+    flows_given_up: int
+    imbalance: float
+    slowest_s: float
+    flows_broken: int
+    ran_twice: int
+    ran_though_not_run: int
+    incomplete_answers: int
+    packets_after_out: int
+
+    @property
+    def promises_kept(self) -> bool:
+        """Tell whether nothing happened that must not."""
+        return not (
+            self.flows_broken
+            or self.ran_twice
+            or self.ran_though_not_run
+            or self.incomplete_answers
+            or self.packets_after_out
+        )
+
+
+def measure(
+    fleet: deployment_module.Deployment,
+    records: list[traffic.Record],
+    out_s: float,
+    returned_s: float,
+) -> Outcome:
+    """Return the figures of a run.
+
+    ``out_s`` and ``returned_s`` say when the failure domain was taken out
+    and brought back, on the clock of the run.
+    """
+    runs_by_key: dict[bytes, list[str]] = collections.defaultdict(list)
+    for own_id, item in fleet.executions():
+        runs_by_key[item.key].append(own_id)
+    counts = collections.Counter(
+        _KIND_BY_RESULT[type(record.result)] for record in records
+    )
+    flows, given_up, broken = _flows(
+        fleet, records, runs_by_key, out_s, returned_s
+    )
+    return Outcome(
+        requests=len(records),
+        answered=counts["answered"],
+        not_run=counts["not_run"],
+        unknown=counts["unknown"],
+        invalid=counts["invalid"],
+        shed_by_endpoints=sum(
+            item.shed for item in fleet.standin_by_id.values()
+        ),
+        flows=flows,
+        flows_given_up=given_up,
+        imbalance=_imbalance(fleet),
+        slowest_s=max(
+            (record.finished_s - record.sent_s for record in records),
+            default=0.0,
+        ),
+        flows_broken=broken,
+        ran_twice=sum(
+            len(runs_by_key[record.key]) > 1
+            for record in records
+            if record.kind == "booking"
+        ),
+        ran_though_not_run=sum(
+            bool(runs_by_key[record.key])
+            for record in records
+            if record.kind == "booking"
+            and isinstance(record.result, client_module.NotRun)
+        ),
+        incomplete_answers=sum(
+            _is_incomplete(record, out_s, returned_s) for record in records
+        ),
+        packets_after_out=sum(
+            out_s + OUT_BOUND_S < time_s < returned_s
+            for time_s in fleet.arrivals("waco")
+        ),
+    )
+
+
+def _is_incomplete(
+    record: traffic.Record, out_s: float, returned_s: float
+) -> bool:
+    """Tell whether a caller got a part of an answer, or another's answer.
+
+    A download that was under way when its failure domain was taken out may
+    be given up, and says so; every other one must be whole.
+    """
+    result = record.result
+    if isinstance(result, client_module.Answered):
+        if record.kind == "plan":
+            return len(result.payload) != deployment_module.PLAN_BYTES
+        return result.payload != record.key
+    if record.kind != "plan":
+        return False
+    during_out = record.sent_s < returned_s and record.finished_s > out_s
+    return not during_out
+
+
+def _flows(
+    fleet: deployment_module.Deployment,
+    records: list[traffic.Record],
+    runs_by_key: dict[bytes, list[str]],
+    out_s: float,
+    returned_s: float,
+) -> tuple[int, int, int]:
+    """Return the numbers of flows, of those given up and those broken."""
+    broken = 0
+    given_up = 0
+    owner_by_flow: dict[tuple[int, str], str] = {}
+    for record in sorted(records, key=lambda item: item.sent_s):
+        flow = (record.crew, record.service)
+        if isinstance(record.result, client_module.NotRun):
+            owner_by_flow.pop(flow, None)
+            continue
+        if record.kind == "plan" or not runs_by_key[record.key]:
+            continue
+        owner = runs_by_key[record.key][-1]
+        before = owner_by_flow.get(flow)
+        owner_by_flow[flow] = owner
+        if before is None or before == owner:
+            continue
+        was_out = fleet.domain_of(before) == "waco"
+        if was_out and record.finished_s >= out_s:
+            given_up += 1
+        elif getattr(record.result, "round_trips", 1) == 1:
+            broken += 1
+    return traffic.CREWS * len(fleet.address_by_service), given_up, broken
+
+
+def _imbalance(fleet: deployment_module.Deployment) -> float:
+    shares = [
+        standin.busy_s
+        for own_id, standin in fleet.standin_by_id.items()
+        if own_id in ("scheduler-1", "scheduler-3")
+    ]
+    mean = sum(shares) / len(shares)
+    return max(shares) / mean if mean else 0.0
