Count a revision as known when a daemon announces it

A platform that fails during a read gives nobody the whole revision; the bounds of P4, P8 and P10 then start when the first daemon announces it.

--- a/src/bramleypin/matrix/checker.py
+++ b/src/bramleypin/matrix/checker.py
@@ -7,6 +7,7 @@
 import collections
 import typing
 
+from bramleypin.matrix import deployment as deployment_module
 from bramleypin.matrix import endpoint as endpoint_module
 from bramleypin.matrix import journal as journal_module
 from bramleypin.matrix import registries
@@ -18,6 +19,9 @@
 # its next question to the endpoint.
 COLD_DETECTION_S = 2.0
 
+# A reader has read a revision whole after this time.
+READING_S = 1.0
+
 # Faults that end what runs at an endpoint, or the memory of it.
 DESTROYING = ("endpoint-crashes", "agent-restarts", "domain-out")
 PARTITIONS = ("partition-two-way", "partition-one-way")
@@ -52,14 +56,20 @@
 
 
 def _disturbed(
-    journal: Journal, call: Call, kinds: typing.Iterable[str]
+    journal: Journal,
+    call: Call,
+    kinds: typing.Iterable[str],
+    aftermath_s: float = 0.0,
 ) -> bool:
-    """Tell whether a fault of some kinds hit an owner of the call's flow."""
+    """Tell whether a fault of some kinds hit an owner of the call's flow.
+
+    ``aftermath_s`` is how long the fault may be felt after its end.
+    """
     owners = _owners(journal, call)
     domains = {_domain(name) for name in owners}
     return any(
         span.subject in owners | domains
-        and span.overlaps(call.since_s, call.ended_s)
+        and span.overlaps(call.since_s - aftermath_s, call.ended_s)
         for span in journal.find_spans(kinds)
     )
 
@@ -72,7 +82,11 @@
     if _disturbed(journal, call, PARTITIONS):
         return True
     if call.outcome == "not_run":
-        return _disturbed(journal, call, ("endpoint-sheds", *COLD))
+        # Such faults lower the endpoint's limit to that of a cold one, which
+        # rises over the ramp (design page, section 6).
+        lowering = ("endpoint-sheds", "endpoint-lies", *COLD)
+        ramp_s = deployment_module.RAMP_S
+        return _disturbed(journal, call, lowering, ramp_s)
     return False
 
 
@@ -133,20 +147,34 @@
     )
 
 
-def _known_since(journal: Journal, start_s: float) -> float:
-    """Return when the platform would tell what was published at a time."""
-    since_s = start_s
+def _known_since(journal: Journal, item: journal_module.Published) -> float:
+    """Return when the system could first learn of a revision.
+
+    A platform that fails while its readers read gives nobody the whole
+    revision. Once one daemon announces it, the others must follow.
+    """
+    since_s = item.published_s
     for span in journal.find_spans(PLATFORM):
-        if span.overlaps(since_s, since_s):
+        if span.overlaps(since_s, since_s + READING_S):
             since_s = journal.ended_s if span.end_s is None else span.end_s
-    return since_s
+    return min(since_s, journal.first_announced(item.revision))
+
+
+def _revision_at(journal: Journal, start_s: float) -> journal_module.Published:
+    """Return the revision that was published last at a time."""
+    return [item for item in journal.published if item.published_s <= start_s][
+        -1
+    ]
 
 
 @registries.check("P4")
 def check_domains_out(journal: Journal) -> Violations:
     """Nothing is sent into a failure domain 3 s after it is taken out."""
     for span in journal.find_spans(("domain-out",)):
-        bound_s = _known_since(journal, span.start_s) + OUT_BOUND_S
+        bound_s = (
+            _known_since(journal, _revision_at(journal, span.start_s))
+            + OUT_BOUND_S
+        )
         end_s = journal.ended_s if span.end_s is None else span.end_s
         for packet in journal.packets:
             inside = bound_s < packet.sent_s < end_s
@@ -214,7 +242,10 @@
 def check_leaving(journal: Journal) -> Violations:
     """A leaving endpoint gets no new flow 3 s after it is announced."""
     for span in journal.find_spans(("leaving",)):
-        bound_s = _known_since(journal, span.start_s) + LEAVING_BOUND_S
+        bound_s = (
+            _known_since(journal, _revision_at(journal, span.start_s))
+            + LEAVING_BOUND_S
+        )
         end_s = journal.ended_s if span.end_s is None else span.end_s
         for run in journal.runs:
             call = journal.calls.get(run.call_id)
@@ -274,7 +305,7 @@
     """Return the revision that must be in force at a packet's sender."""
     due = 0
     for item in journal.published:
-        since_s = _known_since(journal, item.published_s)
+        since_s = _known_since(journal, item)
         for span in journal.find_spans(("paused",), packet.sender):
             if span.overlaps(since_s, since_s):
                 since_s = packet.sent_s if span.end_s is None else span.end_s
--- a/src/bramleypin/matrix/faults.py
+++ b/src/bramleypin/matrix/faults.py
@@ -20,7 +20,10 @@
 LIE_S = 8.0
 DELAY_S = 30.0
 REORDER_S = 0.2
-DATAGRAMS_PER_HOP = 3
+# CoAP sends a request five times (RFC 7252, MAX_RETRANSMIT 4), so it bears
+# the loss of four datagrams: two by each fault of a pair.
+LOST_DATAGRAMS = 2
+DUPLICATED_DATAGRAMS = 12
 SLOW_SPEED = 0.25
 
 # Paths between hosts; endpoint and agent share a VM, whose loopback neither
@@ -176,27 +179,27 @@
     cell.cut(cell.target_domain(), False, PARTITION_S)
 
 
-def _rule_per_hop(cell: typing.Any, **options: typing.Any) -> None:
-    for hop in HOPS:
+def _rule(cell: typing.Any, datagrams: int, **options: typing.Any) -> None:
+    """Strike the next datagrams of the watched caller, on any hop."""
 
-        def match(packet: typing.Any, wanted: tuple = hop) -> bool:
-            return packets.hop(packet) == wanted and cell.may_disturb(packet)
+    def match(packet: typing.Any) -> bool:
+        return packets.hop(packet) in HOPS and cell.may_disturb(packet)
 
-        cell.network.add_rule(
-            virtual_network.Rule(match, remaining=DATAGRAMS_PER_HOP, **options)
-        )
+    cell.network.add_rule(
+        virtual_network.Rule(match, remaining=datagrams, **options)
+    )
 
 
 @registries.fault("datagram-lost")
 async def datagram_lost(cell: typing.Any) -> None:
-    """The next datagrams of the request on each hop are lost."""
-    _rule_per_hop(cell, loss=1.0)
+    """The next datagrams of the request are lost."""
+    _rule(cell, LOST_DATAGRAMS, loss=1.0)
 
 
 @registries.fault("datagram-duplicated")
 async def datagram_duplicated(cell: typing.Any) -> None:
-    """The next datagrams of the request on each hop arrive twice."""
-    _rule_per_hop(cell, duplicate=1.0, jitter_s=REORDER_S)
+    """The next datagrams of the request arrive twice."""
+    _rule(cell, DUPLICATED_DATAGRAMS, duplicate=1.0, jitter_s=REORDER_S)
 
 
 @registries.fault("datagram-reordered")
@@ -214,5 +217,5 @@
 
 @registries.fault("datagram-delayed")
 async def datagram_delayed(cell: typing.Any) -> None:
-    """The next datagrams of the request on each hop arrive 30 s late."""
-    _rule_per_hop(cell, delay_s=DELAY_S)
+    """The next datagrams of the request arrive 30 s late."""
+    _rule(cell, LOST_DATAGRAMS, delay_s=DELAY_S)
--- a/src/bramleypin/matrix/journal.py
+++ b/src/bramleypin/matrix/journal.py
@@ -5,10 +5,9 @@
 """
 
 import dataclasses
+import math
 import typing
 
-from bramleypin.internal import address
-
 
 @dataclasses.dataclass(slots=True)
 class Call:
@@ -113,11 +112,23 @@
     owner_by_flow: dict[tuple[str, int], set[str]] = dataclasses.field(
         default_factory=dict
     )
-    address_meaning: dict[address.Address, str] = dataclasses.field(
-        default_factory=dict
-    )
+    announced_s: dict[int, float] = dataclasses.field(default_factory=dict)
     ended_s: float = 0.0
 
+    def announce(self, revision: int, now_s: float) -> None:
+        """Note that a daemon announced a revision."""
+        if revision not in self.announced_s:
+            self.announced_s[revision] = now_s
+
+    def first_announced(self, revision: int) -> float:
+        """Return when a revision or a later one was first announced."""
+        times = [
+            at_s
+            for number, at_s in self.announced_s.items()
+            if number >= revision
+        ]
+        return min(times, default=math.inf)
+
     def begin(self, kind: str, subject: str, now_s: float) -> Span:
         """Open a span."""
         span = Span(kind, subject, now_s)
--- a/src/bramleypin/matrix/packets.py
+++ b/src/bramleypin/matrix/packets.py
@@ -52,6 +52,7 @@
             if frame is not None:
                 kind = type(frame).__name__
                 revision = frame.revision
+                self.journal.announce(revision, packet.sent_s)
         self.journal.packets.append(
             journal_module.DataPacket(
                 sent_s=packet.sent_s,
--- a/src/bramleypin/matrix/workload.py
+++ b/src/bramleypin/matrix/workload.py
@@ -6,6 +6,7 @@
 Meanwhile the operators publish planned changes.
 """
 
+import math
 import typing
 
 import anyio
@@ -45,6 +46,7 @@
         ]
         self.mover = caller_module.Caller(cell, "mover", "203.0.113.40")
         self._weight = 1.0
+        self._index_by_change = {"retired": math.inf, "moved": math.inf}
 
     async def run(self) -> None:
         """Make all calls; returns when the last caller has its answer."""
@@ -112,10 +114,21 @@
         at = deployment_module.MOVED_ADDRESS
         while anyio.current_time() < start_s + RETIRE_AFTER_S - 0.5:
             await self._call_moved("scheduler", at)
-        await anyio.sleep(start_s + MOVE_AFTER_S - anyio.current_time())
+        # The operators tell callers of the move when the address has been
+        # retired everywhere, which the configuration service may have
+        # delayed by hiding a revision.
+        await anyio.sleep(start_s + RETIRE_AFTER_S - anyio.current_time())
+        await self._wait_until_shown("retired")
+        await anyio.sleep(MOVE_AFTER_S - RETIRE_AFTER_S)
+        await self._wait_until_shown("moved")
         while anyio.current_time() < start_s + DURATION_S:
             await self._call_moved("planstore", at)
 
+    async def _wait_until_shown(self, what: str) -> None:
+        platform = self.cell.deployment.platform
+        while not platform.shows(self._index_by_change[what]):
+            await anyio.sleep(0.05)
+
     async def _call_moved(self, service: str, at: address.Address) -> None:
         flow = await self.mover.open_flow(service, at)
         await flow.call("GET", "moved", 10, deadline_s=MOVED_DEADLINE_S)
@@ -131,11 +144,13 @@
         publication.set_addresses("scheduler", drop=moved)
         publication.retired = (moved,)
         deployment.publish()
+        self._index_by_change["retired"] = deployment.platform.index
         await anyio.sleep(MOVE_AFTER_S - RETIRE_AFTER_S)
         publication.retired = ()
         publication.set_addresses("planstore", add=moved)
         publication.change_endpoint("scheduler", LEAVING, state="leaving")
         deployment.publish()
+        self._index_by_change["moved"] = deployment.platform.index
         self.cell.watch_spread(deployment.platform.index)
         span = self.cell.begin("leaving", LEAVING)
         await anyio.sleep(RETURN_AFTER_S - MOVE_AFTER_S)
--- a/src/bramleypin/standins/virtual_platform.py
+++ b/src/bramleypin/standins/virtual_platform.py
@@ -103,6 +103,12 @@
         self._read = anyio.Event()
         return visible[-1]
 
+    def shows(self, index: float) -> bool:
+        """Tell whether readers in general are given an index's values."""
+        replica = self._shared
+        limit = self.index if replica.limit is None else replica.limit
+        return replica.mode is not Mode.DOWN and limit >= index
+
     async def wait(self) -> None:
         """Wait for a change of values or modes."""
         await self._changed.wait()
