Say "not run" only when no attempt or block has run

Cause: the client returned the result of its last attempt. It also asked for later blocks in its own size instead of the endpoint's (RFC 7959, section 2.4), so that every download from an endpoint with smaller blocks ended as unknown.

Change: the client remembers that an attempt may have run, and keeps the endpoint's block size. The matrix endpoint now serves blocks of 64 bytes.

--- a/src/bramleypin/client.py
+++ b/src/bramleypin/client.py
@@ -85,6 +85,7 @@
     idempotent: bool
     round_trips: int = 0
     retries: int = 0
+    may_have_run: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,8 +162,10 @@
         self.budget.note_request()
         while True:
             result = await self._transfer(call, payload)
+            if isinstance(result, Unknown):
+                call.may_have_run = True
             if not retry or not await self._may_retry(call, result):
-                return result
+                return _over_all_attempts(call, result)
 
     async def _may_retry(self, call: _Call, result: Result) -> bool:
         """Wait before a retry, or tell that there is none."""
@@ -218,12 +221,16 @@
         self, call: _Call, first: coap.Message
     ) -> Result:
         """Get the rest of an answer; all blocks must have the same ETag."""
+        call.may_have_run = True
         payload = first.payload
         etag = first.opt.etag or b""
         answer = first
         while _has_more(answer):
+            # The size that the endpoint has chosen holds for the whole
+            # transfer (RFC 7959, section 2.4).
             number = answer.opt.block2.block_number + 1
-            part = _Part(block2=(number, False, _BLOCK_EXPONENT))
+            exponent = answer.opt.block2.size_exponent
+            part = _Part(block2=(number, False, exponent))
             answer = await self._exchange(call, part)
             if not isinstance(answer, coap.Message):
                 return self._result(call, answer)
@@ -333,6 +340,16 @@
     return block is not None and block.more
 
 
+def _over_all_attempts(call: _Call, result: Result) -> Result:
+    """Return the result of all attempts of a call together.
+
+    "Not run" is said only when no attempt and no block has run.
+    """
+    if isinstance(result, NotRun) and call.may_have_run:
+        return Unknown(result.reason, result.round_trips)
+    return result
+
+
 def _before_last_block(result: Result) -> Result:
     """Return the result of a body that was broken off early: not run."""
     if isinstance(result, (Unknown, NotRun)):
--- a/src/bramleypin/matrix/endpoint.py
+++ b/src/bramleypin/matrix/endpoint.py
@@ -16,8 +16,9 @@
 from bramleypin.internal.wire import coap
 from bramleypin.matrix import journal as journal_module
 
-BLOCK_BYTES = 1024
-BLOCK_EXPONENT = 6
+# Smaller than the client's, so that the client must follow the endpoint.
+BLOCK_BYTES = 64
+BLOCK_EXPONENT = 2
 BLOCKS = 6
 WELL_KNOWN = (".well-known", "bramleypin")
 # Longer requests are acknowledged first and answered separately.
