--- a/src/bramleypin/matrix/cell.py
+++ b/src/bramleypin/matrix/cell.py
@@ -22,6 +22,8 @@
 
 WARM_UP_S = 6.0
 SETTLE_S = 6.0
+# A cell that has not ended by then waits for something that never comes.
+TIMEOUT_S = 400.0
 SECOND_FAULT_AFTER_S = 0.4
 
 
@@ -103,7 +105,8 @@
             self.tasks = tasks
             tasks.start_soon(self.network.run)
             await self.deployment.start(tasks)
-            await self._run_phases()
+            with anyio.fail_after(TIMEOUT_S):
+                await self._run_phases()
             tasks.cancel_scope.cancel()
         return self._result()
 
@@ -119,6 +122,7 @@
         while self.pending_ends:
             await anyio.sleep(0.5)
         await anyio.sleep(SETTLE_S)
+        self.journal.final_s = anyio.current_time()
         await self.workload.run_final()
         self.journal.ended_s = anyio.current_time()
 
--- a/src/bramleypin/matrix/checker.py
+++ b/src/bramleypin/matrix/checker.py
@@ -98,7 +98,7 @@
             continue
         if call.established and not _may_fail(journal, call):
             yield _describe(call, "of an established flow")
-        elif call.kind == "final":
+        elif call.started_s >= journal.final_s:
             yield _describe(call, "after all faults had ended")
 
 
--- a/src/bramleypin/matrix/endpoint.py
+++ b/src/bramleypin/matrix/endpoint.py
@@ -161,7 +161,7 @@
             started_s=anyio.current_time(),
             running=self.running,
             bearable=self.bearable(),
-            block=0 if block2 is None else block2.block_number,
+            block=0 if block2 is None else block2.start // BLOCK_BYTES,
         )
         self.journal.runs.append(run)
         separate = duration_s > SEPARATE_AFTER_S
--- a/src/bramleypin/matrix/journal.py
+++ b/src/bramleypin/matrix/journal.py
@@ -101,7 +101,10 @@
 
 @dataclasses.dataclass
 class Journal:
-    """The record of one cell."""
+    """The record of one cell.
+
+    ``final_s`` is when all faults have ended and everything must work.
+    """
 
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
     runs: list[Run] = dataclasses.field(default_factory=list)
@@ -113,6 +116,7 @@
         default_factory=dict
     )
     announced_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    final_s: float = math.inf
     ended_s: float = 0.0
 
     def announce(self, revision: int, now_s: float) -> None:
--- a/src/bramleypin/matrix/workload.py
+++ b/src/bramleypin/matrix/workload.py
@@ -69,6 +69,8 @@
     async def _final(self, flow: caller_module.Flow) -> None:
         await flow.call("GET", "final", 10)
         await flow.call("POST", "final", 10)
+        if flow.service == "planstore":
+            await flow.call("GET", "plan", 10)
 
     async def _watched(self) -> None:
         await anyio.sleep(WATCHED_AFTER_S)
@@ -117,7 +119,7 @@
         # The operators tell callers of the move when the address has been
         # retired everywhere, which the configuration service may have
         # delayed by hiding a revision.
-        await anyio.sleep(start_s + RETIRE_AFTER_S - anyio.current_time())
+        await anyio.sleep_until(start_s + RETIRE_AFTER_S)
         await self._wait_until_shown("retired")
         await anyio.sleep(MOVE_AFTER_S - RETIRE_AFTER_S)
         await self._wait_until_shown("moved")
--- a/src/bramleypin/standins/virtual_network.py
+++ b/src/bramleypin/standins/virtual_network.py
@@ -144,6 +144,7 @@
         try:
             await self.schedule.run()
         finally:
+            self.freezer.release()
             trio.lowlevel.remove_instrument(self.freezer)
 
     # Paths
--- a/src/bramleypin/standins/virtual_process.py
+++ b/src/bramleypin/standins/virtual_process.py
@@ -50,6 +50,11 @@
         for task in self._held.pop(process, ()):
             task._runner.runq.append(task)
 
+    def release(self) -> None:
+        """Wake all, so that their tasks can be cancelled."""
+        for process in list(self._held):
+            self.wake(process)
+
     def task_scheduled(self, task: trio.lowlevel.Task) -> None:
         """Hold a task back when its process is paused; called by trio."""
         if not self._held:
