--- /dev/null
+++ b/src/bramleypin/bench/__main__.py
@@ -0,0 +1,41 @@
+"""Runs all benches, or those named: ``python -m bramleypin.bench open``."""
+
+import importlib
+import pkgutil
+import sys
+
+import loguru
+
+from bramleypin import bench as bench_package
+from bramleypin.bench import rows
+from bramleypin import errors
+
+# Modules of this package that hold no bench.
+_OTHERS = frozenset(("__main__", "rows"))
+
+
+def load() -> None:
+    """Import the package's modules, which register their benches."""
+    for module in pkgutil.iter_modules(bench_package.__path__):
+        if module.name not in _OTHERS:
+            importlib.import_module(f"bramleypin.bench.{module.name}")
+
+
+def main(names: list[str]) -> int:
+    """Run benches by name and print their rows; return the exit code."""
+    # Log lines would mix with the rows and cost time in the measured loops.
+    loguru.logger.remove()
+    load()
+    for name in names or sorted(rows.BENCHES.entry_by_name):
+        try:
+            bench = rows.BENCHES.get(name)
+        except errors.UnknownName as error:
+            print(error, file=sys.stderr)
+            return error.exit_code
+        for row in bench():
+            print(row.to_json(), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/bramleypin/internal/balancer/agents.py
+++ b/src/bramleypin/internal/balancer/agents.py
@@ -11,18 +11,29 @@
 from bramleypin.internal import address
 
 SUSPECT_S = 5.0
+# An agent that is silent for longer has most likely been replaced.
+ASK_FOR_S = 60.0
 # More than twice the agents of the largest fleet in the design.
 AGENTS_KEPT = 16_384
 
 
 @dataclasses.dataclass(slots=True)
 class Agent:
-    """One agent; ``incarnation`` is 0 until it is known."""
+    """One agent; ``incarnation`` is 0 until it is known.
+
+    ``silent_since_s`` is when a probe first went unanswered, and 0 while the
+    agent answers. ``probe`` is that probe, for asking again, and
+    ``failure_domain`` where the agent is.
+    """
 
     address: address.Address
     incarnation: int = 0
+    silent_since_s: float = 0.0
+    probe: bytes = b""
+    failure_domain: str = ""
+    refused_until_s: float = 0.0
     suspect_until_s: float = 0.0
-    answered_s: float = 0.0
+    gone: bool = False
 
 
 class Agents:
@@ -32,8 +43,7 @@
         self.epoch = 1
         self._agent_by_address: dict[address.Address, Agent] = {}
 
-    def get(self, at: address.Address) -> Agent:
-        """Return the record of an agent, which is made when missing."""
+    def _get(self, at: address.Address) -> Agent:
         agent = self._agent_by_address.get(at)
         if agent is None:
             if len(self._agent_by_address) >= AGENTS_KEPT:
@@ -50,26 +60,69 @@
 
     def learn(self, at: address.Address, incarnation: int) -> None:
         """Note that an agent has sent a frame under an incarnation."""
-        agent = self.get(at)
-        agent.answered_s = anyio.current_time()
+        agent = self._get(at)
         if agent.incarnation != incarnation:
             self.epoch += agent.incarnation != 0
             agent.incarnation = incarnation
-        if agent.suspect_until_s:
+        if agent.silent_since_s:
+            agent.silent_since_s = 0.0
             agent.suspect_until_s = 0.0
-
-    def suspect(self, at: address.Address) -> None:
-        """Skip an agent in openings for the next 5 s."""
-        agent = self.get(at)
-        agent.suspect_until_s = anyio.current_time() + SUSPECT_S
+            agent.gone = False
+
+    def suspect(
+        self, at: address.Address, failure_domain: str, probe: bytes
+    ) -> None:
+        """Skip an agent that has not answered a probe for the next 5 s."""
+        agent = self._get(at)
+        now = anyio.current_time()
+        agent.suspect_until_s = now + SUSPECT_S
+        if not agent.silent_since_s:
+            agent.silent_since_s = now
+            agent.probe = probe
+            agent.failure_domain = failure_domain
+
+    def refused(self, at: address.Address) -> None:
+        """Note that an agent takes no flows here for the next 5 s."""
+        self._get(at).refused_until_s = anyio.current_time() + SUSPECT_S
         self.epoch += 1
 
     def is_suspect(self, at: address.Address) -> bool:
-        """Tell whether an agent is being skipped."""
+        """Tell whether openings should not count on an agent."""
         agent = self._agent_by_address.get(at)
-        if agent is None or not agent.suspect_until_s:
+        if agent is None:
             return False
-        return anyio.current_time() < agent.suspect_until_s
+        now = anyio.current_time()
+        return now < max(agent.suspect_until_s, agent.refused_until_s)
+
+    def is_gone(self, at: address.Address) -> bool:
+        """Tell whether a cached flow should be looked for elsewhere.
+
+        One lost probe is no reason: an agent that is asked once a second has
+        to stay silent for 5 s first.
+        """
+        agent = self._agent_by_address.get(at)
+        if agent is None:
+            return False
+        return agent.gone or anyio.current_time() < agent.refused_until_s
+
+    def silent(self) -> list[Agent]:
+        """Return the agents to ask again; call it once a second.
+
+        An agent that has been silent for 5 s counts as gone.
+        """
+        now = anyio.current_time()
+        found = [
+            agent
+            for agent in self._agent_by_address.values()
+            if agent.silent_since_s
+        ]
+        for agent in found:
+            if not agent.gone and now - agent.silent_since_s >= SUSPECT_S:
+                agent.gone = True
+                self.epoch += 1
+            elif now - agent.silent_since_s >= ASK_FOR_S:
+                del self._agent_by_address[agent.address]
+        return found
 
     def suspects(self) -> list[str]:
         """Return the addresses of the agents that are being skipped."""
--- a/src/bramleypin/internal/balancer/drops.py
+++ b/src/bramleypin/internal/balancer/drops.py
@@ -21,7 +21,6 @@
     "frame_header": "a frame's header cannot be decoded",
     "frame_fields": "a frame has a wrong number of fields",
     "frame_kind": "a balancer does not take this kind of frame",
-    "late_probe_answer": "the opening has ended already",
     "unexpected": "an input caused an error that has no other name",
 }
 
--- /dev/null
+++ b/src/bramleypin/internal/balancer/fast_path.py
@@ -0,0 +1,73 @@
+"""Forwards bursts of proxied datagrams whose flows are cached.
+
+This loop is most of a balancer's processor time, so it avoids calls to
+functions written in Python. What it cannot forward goes to the forwarder,
+datagram by datagram.
+"""
+
+import typing
+
+from bramleypin.internal import address
+from bramleypin.internal.balancer import flow_key
+from bramleypin.internal.wire import frames
+from bramleypin.internal.wire import mac
+
+if typing.TYPE_CHECKING:
+    from bramleypin.internal.balancer import forwarder as forwarder_module
+
+# The lease is checked once a burst, directly before the burst is sent. A
+# process that is paused while it sends may send the rest of one burst when
+# it resumes, so bursts are short.
+BURST = 16
+
+Items = typing.Iterable[tuple[bytes, address.Address]]
+
+
+class FastPath:
+    """Works on the flow cache of a forwarder."""
+
+    def __init__(self, forwarder: "forwarder_module.Forwarder", key: bytes):
+        self._forwarder = forwarder
+        self._prekeyed = mac.prekeyed(key)
+
+    def forward(self, items: Items) -> None:
+        """Forward datagrams with PROXY v2 headers; ``items`` has senders."""
+        forwarder = self._forwarder
+        forwarder.take_view()
+        epoch = forwarder.agents.epoch
+        find_entry = forwarder.cache.get
+        start_mac = self._prekeyed.copy
+        pack_sequence = frames.SEQUENCE.pack
+        key_bytes = flow_key.KEY_BYTES
+        tick = forwarder.tick
+        sequence = forwarder.sequence
+        ready = []
+        for data, via in items:
+            key = data[:key_bytes]
+            entry = find_entry(key)
+            if (
+                entry is None
+                or entry.fast_epoch != epoch
+                or not (
+                    data.startswith(entry.pin, entry.pin_at)
+                    or entry.finds_pin(data)
+                )
+                or len(data) > frames.MAX_DATAGRAM_BYTES
+            ):
+                forwarder.sequence = sequence
+                forwarder.handle_proxied(data, via)
+                sequence = forwarder.sequence
+                epoch = forwarder.agents.epoch
+                continue
+            entry.used = True
+            entry.via = via
+            if 0 < data[entry.code_at] < 32:
+                entry.asked = tick
+            sequence += 1
+            body = pack_sequence(sequence) + entry.head + data[key_bytes:]
+            checksum = start_mac()
+            checksum.update(body)
+            ready.append((checksum.digest() + body, entry.owner))
+        forwarder.sequence = sequence
+        if ready:
+            forwarder.send_burst(ready)
--- a/src/bramleypin/internal/balancer/flow_key.py
+++ b/src/bramleypin/internal/balancer/flow_key.py
@@ -1,36 +1,15 @@
-"""Flow keys: caller and service address in 12 bytes.
+"""Flow keys: caller and service address as a PROXY protocol v2 header.
 
-The layout is the address block of a PROXY protocol v2 header, so that the
-proxied ingress finds a flow without decoding the addresses.
+The proxied ingress finds a flow by the first bytes of a datagram, without
+decoding the addresses, and a datagram without a valid header finds none.
 """
 
-import socket
-import struct
+from bramleypin.internal.wire import proxy_header
 
-from bramleypin.internal import address
+KEY_BYTES = proxy_header.HEADER_BYTES
 
-KEY_BYTES = 12
-
-_FIELDS = struct.Struct("!4s4sHH")
-
-
-def encode(caller: address.Address, service_address: address.Address) -> bytes:
-    """Return the key of the flow from a caller to a service address."""
-    return _FIELDS.pack(
-        socket.inet_aton(caller[0]),
-        socket.inet_aton(service_address[0]),
-        caller[1],
-        service_address[1],
-    )
-
-
-def decode(key: bytes) -> tuple[address.Address, address.Address]:
-    """Return the caller and the service address of a flow."""
-    caller, service, caller_port, service_port = _FIELDS.unpack(key)
-    return (
-        address.Address(socket.inet_ntoa(caller), caller_port),
-        address.Address(socket.inet_ntoa(service), service_port),
-    )
+encode = proxy_header.encode
+decode = proxy_header.decode
 
 
 def text(key: bytes) -> str:
--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -10,10 +10,10 @@
 from bramleypin.internal import address
 from bramleypin.internal.balancer import agents as agents_module
 from bramleypin.internal.balancer import drops
+from bramleypin.internal.balancer import fast_path
 from bramleypin.internal.balancer import flow_cache
 from bramleypin.internal.balancer import flow_key
 from bramleypin.internal.balancer import inspection
-from bramleypin.internal.balancer import outstanding as outstanding_module
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.model import view as view_module
 from bramleypin.internal.observe import logs
@@ -22,10 +22,12 @@
 from bramleypin.internal.wire import frames
 from bramleypin.internal.wire import pin as pin_module
 
-# Leaves room for the frame's own header, which names the service.
-MAX_DATAGRAM_BYTES = frames.MAX_FRAME_BYTES - 1_024
 DRAIN_TIMEOUT_S = 120.0
-DRAIN_POLL_S = 0.05
+DRAIN_QUIET_S = 1.0
+TICK_S = 30.0
+# A caller waits for at most 120 s.
+FORGET_AFTER_TICKS = 5
+FIRST_RESPONSE_CODE = 64
 # The home agent keeps its decision for 30 s; asking it for 2 s and probing
 # again after that finds the owner as soon as it holds the flow.
 HOME_S = 2.0
@@ -76,39 +78,55 @@
         """Look up the other services."""
         kernel = self.kernel
         self._keys = kernel.settings.key_bytes
-        self._signing_key = self._keys[0]
         self._port = kernel.get("port")
         self._store = kernel.get("view")
-        self._lease_is_valid = kernel.get("lease").is_valid
+        self._lease = kernel.get("lease")
         self._metrics = kernel.get("metrics")
         self._trace = kernel.get("trace")
         self._ingress = kernel.get("ingress")
         self._openings = kernel.get("openings")
         self._view = self._store.view
         self._out_codes: frozenset[int] = frozenset()
-        self._sequence = 0
+        self.sequence = 0
         self.nonce = kernel.environment.random.getrandbits(63)
         self.agents = agents_module.Agents()
         self.cache = flow_cache.FlowCache(kernel.settings.limits.flow_cache)
-        self.outstanding = outstanding_module.Outstanding()
+        self.tick = FORGET_AFTER_TICKS
         self.draining = False
+        self._fast_path = fast_path.FastPath(self, self._keys[0])
+        self._answers = 0
         kernel.get("status").register("balancer", self._status)
 
     async def run(self) -> None:
-        """Forget unanswered requests after a while."""
-        await self.outstanding.run()
+        """Advance the coarse clock by which requests are forgotten."""
+        while True:
+            await anyio.sleep(TICK_S)
+            self.tick += 1
 
     async def drain(self) -> None:
-        """Open no more flows; wait until no answer is outstanding."""
+        """Open no more flows; wait until no answer is outstanding.
+
+        A flow with several requests at once, which RFC 7252 does not have by
+        default, may have answers under way after its first one. So a second
+        without any answer has to pass as well.
+        """
         self.draining = True
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
-            while self.outstanding:
-                await anyio.sleep(DRAIN_POLL_S)
+            seen = -1
+            while seen != self._answers or self.outstanding():
+                seen = self._answers
+                await anyio.sleep(DRAIN_QUIET_S)
+
+    def outstanding(self) -> int:
+        """Return how many flows wait for an answer or for their opening."""
+        oldest = self.tick - FORGET_AFTER_TICKS
+        waiting = sum(entry.asked > oldest for entry in self.cache.values())
+        return waiting + len(self._openings)
 
     def _status(self) -> dict[str, object]:
         return {
             "flows_cached": len(self.cache),
-            "requests_outstanding": len(self.outstanding),
+            "flows_outstanding": self.outstanding(),
             "suspects": self.agents.suspects(),
             "draining": self.draining,
         }
@@ -127,34 +145,20 @@
     ) -> None:
         """Forward a caller's datagram, or open its flow, or drop it."""
         key = flow_key.encode(caller, service_address)
-        self.handle_flow(key, datagram, via)
+        self.handle_burst([(key + datagram, via)])
 
-    def handle_flow(
-        self, key: bytes, datagram: bytes, via: address.Address | None
-    ) -> None:
-        """Like ``handle``, for a flow key; ``via`` is for the answers."""
-        if not self._lease_is_valid():
-            self.drop("no_lease")
-            return
-        if self._store.view is not self._view:
-            self._take_view()
-        entry = self.cache.get(key)
-        if entry is not None and entry.fast_epoch == self.agents.epoch:
-            pin = entry.pin
-            if pin is None or pin in datagram:
-                self.cache.move_to_end(key)
-                entry.via = via
-                if pin is not None:
-                    self._note_request(key, datagram)
-                self._send(entry.owner, entry.header, datagram)
-                return
-        try:
-            self._handle_in_full(key, datagram, via, entry)
-        except errors.InvalidFrame as error:
-            self.drop(error.reason)
+    def handle_burst(self, items: fast_path.Items) -> None:
+        """Handle up to ``fast_path.BURST`` datagrams.
 
-    def _take_view(self) -> None:
-        """Make every cached flow be checked against a changed view."""
+        Each starts with its flow key, which is a PROXY v2 header, and comes
+        with where its flow's answers go to.
+        """
+        self._fast_path.forward(items)
+
+    def take_view(self) -> None:
+        """Make every cached flow be checked if the view has changed."""
+        if self._store.view is self._view:
+            return
         self._view = self._store.view
         self._out_codes = frozenset(
             pin_module.failure_domain_code(name)
@@ -163,32 +167,48 @@
         )
         self.agents.epoch += 1
 
-    def _note_request(self, key: bytes, datagram: bytes) -> None:
-        # An empty message, code 0.00, has no answer.
-        if len(datagram) > 1 and 0 < datagram[1] < 32:
-            self.outstanding.add(key + inspection.token(datagram))
+    def send_burst(self, ready: list[tuple[bytes, address.Address]]) -> None:
+        """Send frames, if the view is confirmed at this moment."""
+        if not self._lease.is_valid():
+            self.drop("no_lease", len(ready))
+            return
+        self._port.send_burst(ready)
+        self._metrics.count(FORWARDED, len(ready))
 
     def _send(
         self, to: address.Address, header: bytes, datagram: bytes
     ) -> None:
-        if len(datagram) > MAX_DATAGRAM_BYTES:
-            self.drop("oversized")
-            return
-        self._sequence += 1
-        self._port.send(
-            frames.seal(self._signing_key, self._sequence, header, datagram),
-            to,
-        )
-        self._metrics.count(FORWARDED)
+        self.sequence += 1
+        frame = frames.seal(self._keys[0], self.sequence, header, datagram)
+        self.send_burst([(frame, to)])
+
+    def handle_proxied(self, data: bytes, via: address.Address | None) -> None:
+        """Handle one datagram whose flow is not ready in the cache."""
+        try:
+            key = data[: flow_key.KEY_BYTES]
+            service_address = flow_key.decode(key)[1]
+            datagram = data[flow_key.KEY_BYTES :]
+            if len(datagram) > frames.MAX_DATAGRAM_BYTES:
+                self.drop("oversized")
+            elif not self._lease.is_valid():
+                self.drop("no_lease")
+            else:
+                self._handle_in_full(key, service_address, datagram, via)
+        except errors.InvalidFrame as error:
+            self.drop(error.reason)
+
+    def _note_request(self, entry: flow_cache.Entry, datagram: bytes) -> None:
+        if entry.is_coap and coap.is_request(datagram[1]):
+            entry.asked = self.tick
 
     def _handle_in_full(
         self,
         key: bytes,
+        service_address: address.Address,
         datagram: bytes,
         via: address.Address | None,
-        entry: flow_cache.Entry | None,
     ) -> None:
-        service_address = flow_key.decode(key)[1]
+        entry = self.cache.get(key)
         name = self._view.service_at(service_address)
         service = None if name is None else self._view.service(name)
         if service is None:
@@ -227,15 +247,16 @@
             owner=pin.owner,
             incarnation=known or pin.incarnation,
             pin=found.pin_bytes,
+            is_coap=True,
             via=via,
         )
-        self._refresh(key, entry)
+        header = self._refresh(key, entry)
         self.cache.store(key, entry)
-        self._note_request(key, datagram)
+        self._note_request(entry, datagram)
         self._trace.record(
             flow_key.text(key), f"forward to {pin.owner}", "pin"
         )
-        self._send(entry.owner, entry.header, datagram)
+        self._send(entry.owner, header, datagram)
 
     def _by_cache(
         self,
@@ -255,10 +276,9 @@
             return
         if entry.epoch != self.agents.epoch:
             self._refresh(key, entry)
-        self.cache.move_to_end(key)
+        entry.used = True
         entry.via = via
-        if entry.pin is not None:
-            self._note_request(key, datagram)
+        self._note_request(entry, datagram)
         self._send(entry.owner, entry.unpinned_header, datagram)
 
     def _still_holds(
@@ -270,7 +290,7 @@
         return (
             entry.service == service.name
             and not self._is_out(service, entry.owner, None)
-            and not self.agents.is_suspect(entry.owner)
+            and not self.agents.is_gone(entry.owner)
         )
 
     def _open(
@@ -283,8 +303,6 @@
     ) -> None:
         if self.draining:
             self.drop("draining")
-        elif len(datagram) > MAX_DATAGRAM_BYTES:
-            self.drop("oversized")
         else:
             self._openings.add(key, datagram, via, service.name, may_open)
 
@@ -370,24 +388,30 @@
         self._metrics.count(REFUSED)
         self._ingress.send(answer, *flow_key.decode(key), via)
 
-    def _refresh(self, key: bytes, entry: flow_cache.Entry) -> None:
-        """Encode an entry's headers for the current view."""
+    def _refresh(self, key: bytes, entry: flow_cache.Entry) -> bytes:
+        """Encode an entry's headers for the current view.
+
+        Returns the header for datagrams that carry the entry's pin.
+        """
         entry.incarnation = (
             self.agents.incarnation(entry.owner) or entry.incarnation
         )
-        entry.unpinned_header = self._header(key, entry, False)
+        header = entry.unpinned_header = self._header(key, entry, False)
         entry.epoch = self.agents.epoch
-        if entry.home:
-            return
-        if entry.pin is None:
-            entry.header = entry.unpinned_header
-            entry.fast_epoch = entry.epoch
-        elif entry.pin:
-            entry.header = self._header(key, entry, True)
+        if entry.pin:
+            header = self._header(key, entry, True)
+        if entry.pin or not (entry.is_coap or entry.home):
+            entry.head = frames.head(header)
             entry.fast_epoch = entry.epoch
+        return header
 
     def _header(
-        self, key: bytes, entry: flow_cache.Entry, pinned: bool
+        self,
+        key: bytes,
+        entry: flow_cache.Entry,
+        pinned: bool,
+        elapsed_us: int = 0,
+        candidates: tuple[frames.Candidate, ...] = (),
     ) -> bytes:
         caller, service_address = flow_key.decode(key)
         return frames.encode_header(
@@ -401,6 +425,8 @@
                 return_address=self._port.address,
                 pinned=pinned,
                 open=entry.home,
+                elapsed_us=elapsed_us,
+                candidates=candidates,
             )
         )
 
@@ -418,41 +444,27 @@
         ``candidates`` is empty when ``owner`` holds the flow already.
         ``waiting`` has datagrams with their times of arrival in seconds.
         """
-        if self._store.view is not self._view:
-            self._take_view()
+        self.take_view()
         view_service = self._view.service(service)
         is_coap = view_service is None or view_service.protocol == "coap"
         entry = flow_cache.Entry(
             service=service,
             owner=owner.data,
             incarnation=owner.incarnation,
-            pin=b"" if is_coap else None,
+            pin=b"",
+            is_coap=is_coap,
             via=via,
             home=bool(candidates),
             expires_s=anyio.current_time() + HOME_S,
         )
         self._refresh(key, entry)
         self.cache.store(key, entry)
-        caller, service_address = flow_key.decode(key)
         for datagram, arrived_s in waiting:
             elapsed_s = anyio.current_time() - arrived_s
-            header = frames.encode_header(
-                frames.Forward(
-                    nonce=self.nonce,
-                    incarnation=entry.incarnation,
-                    revision=self._view.revision,
-                    service=service,
-                    service_address=service_address,
-                    caller=caller,
-                    return_address=self._port.address,
-                    pinned=False,
-                    open=bool(candidates),
-                    elapsed_us=int(elapsed_s * 1e6),
-                    candidates=candidates,
-                )
+            header = self._header(
+                key, entry, False, int(elapsed_s * 1e6), candidates
             )
-            if is_coap:
-                self._note_request(key, datagram)
+            self._note_request(entry, datagram)
             self._send(owner.data, header, datagram)
 
     def answered(self, answer: frames.Answer, datagram: bytes) -> None:
@@ -462,37 +474,38 @@
             self.drop("wrong_service")
             return
         key = flow_key.encode(answer.caller, answer.service_address)
-        if len(datagram) > 1 and datagram[1] >= 64:
-            self.outstanding.remove(key + inspection.token(datagram))
-        via = self._learn(key, answer)
+        entry = self._learn(key, answer)
+        if len(datagram) > 1 and datagram[1] >= FIRST_RESPONSE_CODE:
+            entry.asked = 0
+        self._answers += 1
         self._ingress.send(
-            datagram, answer.caller, answer.service_address, via
+            datagram, answer.caller, answer.service_address, entry.via
         )
         self._metrics.count(ANSWERED)
 
-    def _learn(
-        self, key: bytes, answer: frames.Answer
-    ) -> address.Address | None:
-        entry = self.cache.get(key)
-        via = None if entry is None else entry.via
+    def _learn(self, key: bytes, answer: frames.Answer) -> flow_cache.Entry:
+        before = self.cache.get(key)
         if (
-            entry is not None
-            and not entry.home
-            and entry.owner == answer.owner
-            and entry.incarnation == answer.incarnation
-            and (entry.pin is None or entry.pin == answer.pin)
+            before is not None
+            and not before.home
+            and before.owner == answer.owner
+            and before.incarnation == answer.incarnation
+            and (before.pin == answer.pin or not before.is_coap)
         ):
-            return via
+            return before
         self.agents.learn(answer.owner, answer.incarnation)
+        self.take_view()
         service = self._view.service(answer.service)
         is_coap = service is None or service.protocol == "coap"
         entry = flow_cache.Entry(
             service=answer.service,
             owner=answer.owner,
             incarnation=answer.incarnation,
-            pin=answer.pin if is_coap else None,
-            via=via,
+            pin=answer.pin if is_coap else b"",
+            is_coap=is_coap,
+            via=None if before is None else before.via,
+            asked=0 if before is None else before.asked,
         )
-        # Encoded with the flow's next datagram, after the checks.
+        # Its headers are made with the flow's next datagram, after checks.
         self.cache.store(key, entry)
-        return via
+        return entry
--- a/src/bramleypin/internal/balancer/ingress.py
+++ b/src/bramleypin/internal/balancer/ingress.py
@@ -9,19 +9,17 @@
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal.balancer import drops
+from bramleypin.internal.balancer import fast_path
+from bramleypin.internal.balancer import flow_key
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.net import datagram as datagram_module
 from bramleypin.internal import registry
 from bramleypin.internal.wire import proxy_header
 
-# Datagrams handled before other tasks get their turn.
-BATCH = 64
+# Bursts handled before other tasks get their turn.
+BURSTS = 32
 ANCILLARY_BYTES = 64
 
-_KEY_START = proxy_header.HEADER_BYTES - proxy_header.ADDRESS_BYTES
-_PREFIX = proxy_header.encode(
-    address.Address("0.0.0.0", 0), address.Address("0.0.0.0", 0)
-)[:_KEY_START]
 # struct in_pktinfo of ip(7): interface, local address, destination address.
 _PKTINFO = struct.Struct("=I4s4s")
 _IP_PKTINFO = getattr(socket, "IP_PKTINFO", 8)
@@ -35,8 +33,8 @@
     async def start(self) -> None:
         """Open the sockets."""
 
-    async def run(self, handle_flow: typing.Callable) -> None:
-        """Call ``handle_flow(flow key, datagram, via)`` for each datagram."""
+    async def run(self, handle_burst: typing.Callable) -> None:
+        """Pass lists of (flow key and datagram, via) to ``handle_burst``."""
 
     def send(
         self,
@@ -68,7 +66,7 @@
         """Hand datagrams to the forwarder until the sockets are closed."""
         await self.kernel.started.wait()
         forwarder = self.kernel.get("forwarder")
-        await self._variant.run(forwarder.handle_flow)
+        await self._variant.run(forwarder.handle_burst)
 
     async def stop(self) -> None:
         """Close the sockets."""
@@ -100,7 +98,6 @@
     def __init__(self, kernel: kernel_module.Kernel):
         self._kernel = kernel
         self._metrics = kernel.get("metrics")
-        self._latest_fabric: address.Address | None = None
 
     async def start(self) -> None:
         """Open the ingress port."""
@@ -112,40 +109,27 @@
         """The ingress port's address."""
         return [self.port.address]
 
-    async def run(self, handle_flow: typing.Callable) -> None:
-        """Read until the port is closed."""
-        receive_nowait = self.port.receive_nowait
+    async def run(self, handle_burst: typing.Callable) -> None:
+        """Read until the port is closed.
+
+        Datagrams without a valid header are left to the forwarder, because
+        the cached flows are looked up by the whole header.
+        """
         while True:
             try:
-                item = await self.port.receive()
-                for _ in range(BATCH):
-                    self._take(*item, handle_flow)
-                    item = receive_nowait()
-                    if item is None:
+                burst = [await self.port.receive()]
+                for _ in range(BURSTS):
+                    datagram_module.receive_more(
+                        self.port, fast_path.BURST, burst
+                    )
+                    if burst:
+                        handle_burst(burst)
+                    if len(burst) < fast_path.BURST:
                         break
-                else:
-                    self._take(*item, handle_flow)
+                    burst = []
             except errors.PortClosed:
                 return
 
-    def _take(
-        self,
-        data: bytes,
-        fabric: address.Address,
-        handle_flow: typing.Callable,
-    ) -> None:
-        if len(data) < proxy_header.HEADER_BYTES or not data.startswith(
-            _PREFIX
-        ):
-            drops.count(self._metrics, "proxy_header")
-            return
-        self._latest_fabric = fabric
-        handle_flow(
-            data[_KEY_START : proxy_header.HEADER_BYTES],
-            data[proxy_header.HEADER_BYTES :],
-            fabric,
-        )
-
     def send(
         self,
         data: bytes,
@@ -154,11 +138,11 @@
         via: address.Address | None,
     ) -> None:
         """Send an answer through the fabric that the flow came from."""
-        to = via or self._latest_fabric
-        if to is None:
+        if via is None:
             drops.count(self._metrics, "no_ingress_path")
             return
-        self.port.send(proxy_header.encode(service_address, caller) + data, to)
+        header = proxy_header.encode(service_address, caller)
+        self.port.send(header + data, via)
 
     async def stop(self) -> None:
         """Close the ingress port."""
@@ -191,49 +175,45 @@
         """Wildcard addresses with the open ports."""
         return [address.Address("0.0.0.0", p) for p in self._socket_by_port]
 
-    async def run(self, handle_flow: typing.Callable) -> None:
+    async def run(self, handle_burst: typing.Callable) -> None:
         """Read all sockets, with one task for each."""
         async with anyio.create_task_group() as tasks:
             for port, sock in self._socket_by_port.items():
-                tasks.start_soon(self._read, port, sock, handle_flow)
+                tasks.start_soon(self._read, port, sock, handle_burst)
 
     async def _read(
-        self, port: int, sock: socket.socket, handle_flow: typing.Callable
+        self, port: int, sock: socket.socket, handle_burst: typing.Callable
     ) -> None:
         while True:
             try:
                 await datagram_module.wait_readable(sock)
             except errors.PortClosed:
                 return
-            for _ in range(BATCH):
-                try:
-                    data, ancillary, _, caller = sock.recvmsg(
-                        datagram_module.RECEIVE_BYTES, ANCILLARY_BYTES
-                    )
-                except OSError:
+            for _ in range(BURSTS):
+                burst = self._read_burst(port, sock)
+                handle_burst(burst)
+                if len(burst) < fast_path.BURST:
                     break
-                self._take(data, ancillary, caller, port, handle_flow)
 
-    def _take(
-        self,
-        data: bytes,
-        ancillary: list[tuple[int, int, bytes]],
-        caller: tuple[str, int],
-        port: int,
-        handle_flow: typing.Callable,
-    ) -> None:
-        for level, kind, value in ancillary:
-            if (level, kind) == (socket.IPPROTO_IP, _IP_PKTINFO):
-                _, _, destination = _PKTINFO.unpack_from(value)
-                key = b"%b%b%b%b" % (
-                    socket.inet_aton(caller[0]),
-                    destination,
-                    caller[1].to_bytes(2, "big"),
-                    port.to_bytes(2, "big"),
+    def _read_burst(
+        self, port: int, sock: socket.socket
+    ) -> list[tuple[bytes, None]]:
+        """Return datagrams with the headers that a fabric would prefix."""
+        burst = []
+        while len(burst) < fast_path.BURST:
+            try:
+                data, ancillary, _, caller = sock.recvmsg(
+                    datagram_module.RECEIVE_BYTES, ANCILLARY_BYTES
                 )
-                handle_flow(key, data, None)
-                return
-        drops.count(self._metrics, "unknown_address")
+            except OSError:
+                break
+            for level, kind, value in ancillary:
+                if (level, kind) == (socket.IPPROTO_IP, _IP_PKTINFO):
+                    host = socket.inet_ntoa(_PKTINFO.unpack_from(value)[2])
+                    at = address.Address(host, port)
+                    key = flow_key.encode(address.Address(*caller), at)
+                    burst.append((key + data, None))
+        return burst
 
     def send(
         self,
--- a/src/bramleypin/internal/balancer/openings.py
+++ b/src/bramleypin/internal/balancer/openings.py
@@ -16,10 +16,12 @@
 
 PROBE_TIMEOUT_S = 0.03
 PROBE_ROUNDS = 2
+ASK_AGAIN_S = 1.0
 # Bounds the tasks and queues that a flood of new flows can cause.
 OPENINGS_AT_ONCE = 4_096
 # A probe id is an opening's number and the candidate's place in it.
 CANDIDATE_BITS = 6
+NO_OPENING = 0
 MAX_CANDIDATES = 1 << CANDIDATE_BITS
 RETRY_AFTER_S = 2
 
@@ -33,6 +35,13 @@
     "balancer.opening", "timing", "seconds", "from first datagram to sending"
 )
 
+LATE_ANSWERS = metrics_module.declare(
+    "balancer.late_probe_answers",
+    "counter",
+    "frames",
+    "probe answers that came after the opening had ended",
+)
+
 NO_NEW_FLOWS = (frames.State.DRAINING, frames.State.OUT)
 
 
@@ -50,6 +59,7 @@
     answer_by_place: dict[int, frames.ProbeAnswer] = dataclasses.field(
         default_factory=dict
     )
+    awaited: int = 0
     holder: int | None = None
     done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
@@ -75,14 +85,25 @@
         self._trace = kernel.get("trace")
         self._opening_by_key: dict[bytes, Opening] = {}
         self._opening_by_number: dict[int, Opening] = {}
-        self._number = kernel.environment.random.getrandbits(32)
+        self._number = kernel.environment.random.getrandbits(32) + 1
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
-        """Hold the task group of the openings."""
+        """Hold the openings' task group; ask silent agents once a second."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            await anyio.sleep_forever()
+            while True:
+                await anyio.sleep(ASK_AGAIN_S)
+                if self._lease.is_valid():
+                    self._ask_the_silent()
+
+    def _ask_the_silent(self) -> None:
+        for agent in self._forwarder.agents.silent():
+            if not self._store.view.is_out(agent.failure_domain):
+                self._port.send(agent.probe, agent.address)
+
+    def __len__(self) -> int:
+        return len(self._opening_by_key)
 
     @property
     def _forwarder(self):
@@ -135,6 +156,7 @@
             del self._opening_by_key[opening.key]
 
     def _candidates(self, opening: Opening) -> list[placement.Choice]:
+        """Return whom to ask; suspects come last and are not waited for."""
         found = placement.choices(
             self._store.view,
             opening.service,
@@ -143,50 +165,53 @@
             self._members.is_leaving,
         )[:MAX_CANDIDATES]
         agents = self._forwarder.agents
-        trusted = [
-            item for item in found if not agents.is_suspect(item.endpoint.data)
-        ]
-        return trusted or found
+        trusted, suspects = [], []
+        for item in found:
+            suspect = agents.is_suspect(item.endpoint.data)
+            (suspects if suspect else trusted).append(item)
+        opening.awaited = len(trusted) or len(found)
+        return trusted + suspects
 
     async def _ask(self, opening: Opening) -> None:
         """Send probes and wait until all are answered or one holds."""
         self._number += 1
         number = self._number
         self._opening_by_number[number] = opening
-        caller, service_address = flow_key.decode(opening.key)
         try:
             for place, choice in enumerate(opening.asked):
-                probe = frames.Probe(
-                    probe_id=number << CANDIDATE_BITS | place,
-                    revision=self._store.view.revision,
-                    service=opening.service,
-                    service_address=service_address,
-                    caller=caller,
-                )
-                self._port.send(
-                    frames.encode(probe, self._key), choice.endpoint.data
-                )
+                probe = self._probe(opening, number << CANDIDATE_BITS | place)
+                self._port.send(probe, choice.endpoint.data)
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 await opening.done.wait()
         finally:
             del self._opening_by_number[number]
 
+    def _probe(self, opening: Opening, probe_id: int) -> bytes:
+        caller, service_address = flow_key.decode(opening.key)
+        probe = frames.Probe(
+            probe_id=probe_id,
+            revision=self._store.view.revision,
+            service=opening.service,
+            service_address=service_address,
+            caller=caller,
+        )
+        return frames.encode(probe, self._key)
+
     def probe_answered(self, answer: frames.ProbeAnswer) -> None:
         """Take an answer to a probe."""
         number = answer.probe_id >> CANDIDATE_BITS
         place = answer.probe_id & (MAX_CANDIDATES - 1)
         opening = self._opening_by_number.get(number)
         if opening is None or place >= len(opening.asked):
-            self._forwarder.drop("late_probe_answer")
+            self._metrics.count(LATE_ANSWERS)
             return
-        at = opening.asked[place].endpoint.data
-        self._forwarder.agents.learn(at, answer.incarnation)
         opening.answer_by_place[place] = answer
         if answer.holds and opening.holder is None:
             opening.holder = place
-        if opening.holder is not None or len(opening.answer_by_place) == len(
-            opening.asked
-        ):
+        answered = sum(
+            place < opening.awaited for place in opening.answer_by_place
+        )
+        if opening.holder is not None or answered == opening.awaited:
             opening.done.set()
 
     def _decide(self, opening: Opening) -> None:
@@ -246,9 +271,14 @@
     def _suspect_the_silent(self, opening: Opening) -> None:
         for place, choice in enumerate(opening.asked):
             if place not in opening.answer_by_place:
-                self._forwarder.agents.suspect(choice.endpoint.data)
+                endpoint = choice.endpoint
+                self._forwarder.agents.suspect(
+                    endpoint.data,
+                    endpoint.failure_domain,
+                    self._probe(opening, NO_OPENING),
+                )
                 self._trace.record(
-                    str(choice.endpoint.data), "suspect", "probe unanswered"
+                    str(endpoint.data), "suspect", "probe unanswered"
                 )
 
     def _pass_on(
--- a/src/bramleypin/internal/balancer/receiver.py
+++ b/src/bramleypin/internal/balancer/receiver.py
@@ -65,6 +65,7 @@
             self._forwarder.answered(frame, payload)
             self._compare(frame.revision, frame.owner, frame.service)
         elif isinstance(frame, frames.ProbeAnswer):
+            self._forwarder.agents.learn(sender, frame.incarnation)
             self._openings.probe_answered(frame)
             self._compare(frame.revision, sender, None)
         elif isinstance(frame, frames.Notice):
@@ -97,4 +98,4 @@
             frames.Reason.FAILURE_DOMAIN_OUT,
             frames.Reason.WRONG_SERVICE,
         ):
-            agents.suspect(sender)
+            agents.refused(sender)
--- a/src/bramleypin/internal/net/data_port.py
+++ b/src/bramleypin/internal/net/data_port.py
@@ -1,9 +1,11 @@
 """The data port: one UDP port for the frames between processes."""
 
+import functools
 import typing
 
 from bramleypin.internal import address
 from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.net import datagram
 
 
 @kernel_module.service("port", roles=("balancer", "agent"))
@@ -32,6 +34,7 @@
         self.send = port.send
         self.receive = port.receive
         self.receive_nowait = port.receive_nowait
+        self.send_burst = functools.partial(datagram.send_burst, port)
 
     async def stop(self) -> None:
         """Close the port."""
--- a/src/bramleypin/internal/net/datagram.py
+++ b/src/bramleypin/internal/net/datagram.py
@@ -7,6 +7,7 @@
 
 import errno
 import socket
+import typing
 
 import anyio
 import anyio.lowlevel
@@ -67,6 +68,20 @@
         except OSError:
             self.send_failures += 1
 
+    def send_burst(
+        self, burst: list[tuple[bytes, address_module.Address]]
+    ) -> None:
+        """Send datagrams; drops those that the kernel does not take."""
+        sendto = self._sendto
+        rest = iter(burst)
+        while True:
+            try:
+                for data, to in rest:
+                    sendto(data, to)
+                return
+            except OSError:
+                self.send_failures += 1
+
     async def receive(self) -> tuple[bytes, address_module.Address]:
         """Wait for a datagram and its sender.
 
@@ -102,11 +117,54 @@
                 raise errors.PortClosed("the port is closed") from None
             return None
 
+    def receive_more(self, limit: int, into: list) -> None:
+        """Append datagrams that have arrived until there are ``limit``.
+
+        :raises errors.PortClosed: when the port is or gets closed.
+        """
+        receive = self._recvfrom
+        append = into.append
+        try:
+            for _ in range(limit - len(into)):
+                append(receive(RECEIVE_BYTES))
+        except BlockingIOError:
+            return
+        except OSError:
+            if self._socket.fileno() < 0:
+                raise errors.PortClosed("the port is closed") from None
+
     async def aclose(self) -> None:
         """Close the port."""
         close_socket(self._socket)
 
 
+def receive_more(port: typing.Any, limit: int, into: list) -> None:
+    """Append a port's datagrams that have arrived, up to ``limit``.
+
+    A port that can read a burst by itself does so, which saves a call for
+    each datagram.
+    """
+    if isinstance(port, UdpPort):
+        port.receive_more(limit, into)
+        return
+    while len(into) < limit:
+        item = port.receive_nowait()
+        if item is None:
+            return
+        into.append(item)
+
+
+def send_burst(
+    port: typing.Any, burst: list[tuple[bytes, address_module.Address]]
+) -> None:
+    """Send datagrams from a port, in one call if it can do so."""
+    if isinstance(port, UdpPort):
+        port.send_burst(burst)
+        return
+    for data, to in burst:
+        port.send(data, to)
+
+
 class ConnectedPort:
     """A UDP port connected to one remote address, which shows refusals."""
 
--- a/src/bramleypin/internal/wire/frames.py
+++ b/src/bramleypin/internal/wire/frames.py
@@ -18,6 +18,11 @@
 
 MAX_FRAME_BYTES = 65_507
 
+# Leaves room for a frame's own header, which names the service.
+MAX_DATAGRAM_BYTES = MAX_FRAME_BYTES - 1_024
+
+SEQUENCE = struct.Struct("!Q")
+_LENGTH = struct.Struct("!H")
 _FIXED = struct.Struct("!QH")
 HEADER_START = mac.MAC_BYTES + _FIXED.size
 
@@ -151,6 +156,11 @@
     return int(item.state), item.load, item.incarnation
 
 
+def head(header: bytes) -> bytes:
+    """Return what stands between a frame's sequence and its payload."""
+    return _LENGTH.pack(len(header)) + header
+
+
 def seal(key: bytes, sequence: int, header: bytes, payload: bytes) -> bytes:
     """Return the frame as sent: MAC, sequence, header and payload."""
     body = _FIXED.pack(sequence, len(header)) + header + payload
--- a/src/bramleypin/internal/wire/mac.py
+++ b/src/bramleypin/internal/wire/mac.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import typing
 
 MAC_BYTES = 8
 
@@ -14,3 +15,11 @@
 def verify(keys: tuple[bytes, ...], mac: bytes, data: bytes) -> bool:
     """Tell whether a MAC is right under any of the valid keys."""
     return any(hmac.compare_digest(sign(key, data), mac) for key in keys)
+
+
+def prekeyed(key: bytes) -> typing.Any:
+    """Return a hash object whose updated copies give ``sign``'s result.
+
+    Copying it saves hashing the key for each datagram.
+    """
+    return hashlib.blake2s(digest_size=MAC_BYTES, key=key)
