--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -506,6 +506,11 @@
             via=None if before is None else before.via,
             asked=0 if before is None else before.asked,
         )
+        if is_coap and not answer.pin:
+            # The agent turned the request away and does not hold the flow.
+            if before is not None and before.owner == answer.owner:
+                del self.cache[key]
+            return entry
         # Its headers are made with the flow's next datagram, after checks.
         self.cache.store(key, entry)
         return entry
--- a/src/bramleypin/internal/observe/outcomes.py
+++ b/src/bramleypin/internal/observe/outcomes.py
@@ -2,13 +2,17 @@
 
 import collections
 import dataclasses
+import typing
 
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.wire import frames
 
 BUCKET_S = 60.0
 BUCKETS_KEPT = 360
+OUTCOMES = ("answered", "not_run", "unknown", "invalid")
+SAMPLE_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,16 +20,25 @@
     """Counts of one minute, by service and outcome.
 
     ``slow_by_service`` counts answers over the objective's latency.
+    ``running`` is the sum of ``samples`` counts of the requests at the
+    endpoint, and ``cold_excess`` the most of them over a cold limit.
     """
 
     start_s: float
     count_by_outcome: dict[str, dict[str, int]]
     slow_by_service: dict[str, int]
+    samples: int = 0
+    running: int = 0
+    cold_excess: int = 0
 
 
 @kernel_module.service("outcomes", roles=("balancer", "agent"))
 class Outcomes(kernel_module.Service):
-    """Outcome counts of the last 6 hours, or since the process started."""
+    """Outcome counts of the last 6 hours, or since the process started.
+
+    A request is recorded once, by the process that decides its outcome, so
+    that the counts of all processes can be added.
+    """
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
@@ -38,17 +51,113 @@
         """Remember when counting began."""
         self.started_s = anyio.current_time()
 
+    async def run(self) -> None:
+        """Sample how busy the endpoint is; a balancer has none."""
+        await self.kernel.started.wait()
+        admission = self.kernel.service_by_name.get("admission")
+        while admission is not None:
+            self._sample(admission)
+            await anyio.sleep(SAMPLE_INTERVAL_S)
+
+    def _sample(self, admission: typing.Any) -> None:
+        bucket = self._current()
+        bucket.samples += 1
+        bucket.running += admission.running
+        # Requests that ran already when the endpoint turned cold are counted
+        # too, because it has to bear them all the same.
+        if admission.state() is frames.State.COLD:
+            excess = admission.running - admission.limit()
+            bucket.cold_excess = max(bucket.cold_excess, excess)
+
     def record(
-        self, service: str, outcome: str, latency_s: float, slow: bool = False
+        self,
+        service: str,
+        outcome: str,
+        latency_s: float,
+        slow: bool | None = None,
     ) -> None:
-        """Count one request: answered, not_run, unknown or invalid."""
+        """Count one request: answered, not_run, unknown or invalid.
+
+        Without ``slow``, an answer is slow when it took longer than the
+        objective of the service in the view allows.
+        """
         bucket = self._current()
         counts = bucket.count_by_outcome.setdefault(service, {})
         counts[outcome] = counts.get(outcome, 0) + 1
+        if outcome != "answered":
+            return
+        if slow is None:
+            objective = self._objective(service)
+            slow = objective is not None and latency_s > objective[1]
         if slow:
             before = bucket.slow_by_service.get(service, 0)
             bucket.slow_by_service[service] = before + 1
 
+    def report(
+        self, since_s: float = BUCKET_S * BUCKETS_KEPT
+    ) -> dict[str, typing.Any]:
+        """Return the counts of the last ``since_s`` seconds as CBOR values.
+
+        Times are ages in seconds, because the clocks of two machines cannot
+        be compared. Each minute of a service is ``[age, counts]``, with the
+        counts in the order of ``OUTCOMES`` and at the end the slow answers,
+        which ``answered`` includes. Each minute of an endpoint is ``[age,
+        mean of requests running, cold excess]``.
+        """
+        now = anyio.current_time()
+        recent = [
+            (now - bucket.start_s, bucket)
+            for bucket in self.buckets
+            if now - bucket.start_s < since_s
+        ]
+        services: dict[str, dict[str, typing.Any]] = {}
+        for age_s, bucket in recent:
+            for name, counts in bucket.count_by_outcome.items():
+                entry = services.setdefault(
+                    name, {"objective": self._objective(name), "minutes": []}
+                )
+                row = [counts.get(outcome, 0) for outcome in OUTCOMES]
+                row.append(bucket.slow_by_service.get(name, 0))
+                entry["minutes"].append([age_s, row])
+        return {
+            "id": self.kernel.settings.id,
+            "role": self.kernel.settings.role,
+            "failure_domain": self.kernel.settings.failure_domain,
+            "covered_s": now - self.started_s,
+            "services": services,
+            "endpoint": self._endpoint(recent),
+        }
+
+    def _endpoint(
+        self, recent: list[tuple[float, Bucket]]
+    ) -> dict[str, typing.Any] | None:
+        settings = self.kernel.settings.endpoint
+        if settings is None:
+            return None
+        store = self.kernel.service_by_name.get("view")
+        service = (
+            None if store is None else store.view.service(settings.service)
+        )
+        found = None if service is None else service.endpoint(settings.id)
+        return {
+            "service": settings.service,
+            "id": settings.id,
+            "slots": 0 if found is None else found.slots,
+            "weight": 0.0 if found is None else found.weight,
+            "minutes": [
+                [age_s, bucket.running / bucket.samples, bucket.cold_excess]
+                for age_s, bucket in recent
+                if bucket.samples
+            ],
+        }
+
+    def _objective(self, service: str) -> tuple[float, float] | None:
+        store = self.kernel.service_by_name.get("view")
+        found = None if store is None else store.view.service(service)
+        if found is None:
+            return None
+        return found.objective.success, found.objective.max_latency_s
+
     def _current(self) -> Bucket:
         start_s = anyio.current_time() // BUCKET_S * BUCKET_S
         if not self.buckets or self.buckets[-1].start_s != start_s:
