Look for flows without a pin anew when an agent says it lacks them

Cause: an agent that drains or has restarted answers STALE_INCARNATION for a cached flow that it does not hold; the cache kept sending it there. Change: the agent's flows without a pin are probed again. The size check of the cached path is left to the kernel, which refuses oversized datagrams, and each refusal is counted.

--- a/src/bramleypin/internal/balancer/agents.py
+++ b/src/bramleypin/internal/balancer/agents.py
@@ -23,7 +23,8 @@
 
     ``silent_since_s`` is when a probe first went unanswered, and 0 while the
     agent answers. ``probe`` is that probe, for asking again, and
-    ``failure_domain`` where the agent is.
+    ``failure_domain`` where the agent is. Cached flows without a pin that
+    were checked before ``doubted_epoch`` may not be held any more.
     """
 
     address: address.Address
@@ -34,6 +35,7 @@
     refused_until_s: float = 0.0
     suspect_until_s: float = 0.0
     gone: bool = False
+    doubted_epoch: int = 0
 
 
 class Agents:
@@ -62,13 +64,20 @@
         """Note that an agent has sent a frame under an incarnation."""
         agent = self._get(at)
         if agent.incarnation != incarnation:
-            self.epoch += agent.incarnation != 0
+            restarted = agent.incarnation != 0
             agent.incarnation = incarnation
+            if restarted:
+                self.doubt(at)
         if agent.silent_since_s:
             agent.silent_since_s = 0.0
             agent.suspect_until_s = 0.0
             agent.gone = False
 
+    def doubt(self, at: address.Address) -> None:
+        """Have the flows without a pin at an agent looked for anew."""
+        self.epoch += 1
+        self._get(at).doubted_epoch = self.epoch
+
     def suspect(
         self, at: address.Address, failure_domain: str, probe: bytes
     ) -> None:
@@ -94,16 +103,20 @@
         now = anyio.current_time()
         return now < max(agent.suspect_until_s, agent.refused_until_s)
 
-    def is_gone(self, at: address.Address) -> bool:
-        """Tell whether a cached flow should be looked for elsewhere.
+    def may_hold(self, at: address.Address, epoch: int) -> bool:
+        """Tell whether a flow that was checked at an epoch is still there.
 
-        One lost probe is no reason: an agent that is asked once a second has
-        to stay silent for 5 s first.
+        One lost probe is no reason against it: an agent that is asked once a
+        second has to stay silent for 5 s first.
         """
         agent = self._agent_by_address.get(at)
         if agent is None:
-            return False
-        return agent.gone or anyio.current_time() < agent.refused_until_s
+            return True
+        return (
+            not agent.gone
+            and epoch >= agent.doubted_epoch
+            and anyio.current_time() >= agent.refused_until_s
+        )
 
     def silent(self) -> list[Agent]:
         """Return the agents to ask again; call it once a second.
--- a/src/bramleypin/internal/balancer/drops.py
+++ b/src/bramleypin/internal/balancer/drops.py
@@ -8,6 +8,7 @@
     "unknown_address": "no service has the destination address",
     "wrong_service": "an answer names a service that lacks its address",
     "oversized": "too large for a frame",
+    "not_sent": "the kernel did not take the frame, for example for its size",
     "coap_format": "no CoAP message, for a CoAP service",
     "not_a_request": "no agent holds the flow, and it is no request",
     "opening_queue": "too many datagrams wait for one flow's opening",
--- a/src/bramleypin/internal/balancer/fast_path.py
+++ b/src/bramleypin/internal/balancer/fast_path.py
@@ -52,7 +52,6 @@
                     data.startswith(entry.pin, entry.pin_at)
                     or entry.finds_pin(data)
                 )
-                or len(data) > frames.MAX_DATAGRAM_BYTES
             ):
                 forwarder.sequence = sequence
                 forwarder.handle_proxied(data, via)
--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -172,8 +172,10 @@
         if not self._lease.is_valid():
             self.drop("no_lease", len(ready))
             return
-        self._port.send_burst(ready)
-        self._metrics.count(FORWARDED, len(ready))
+        failures = self._port.send_burst(ready)
+        self._metrics.count(FORWARDED, len(ready) - failures)
+        if failures:
+            self.drop("not_sent", failures)
 
     def _send(
         self, to: address.Address, header: bytes, datagram: bytes
@@ -274,7 +276,7 @@
         if entry is None:
             self._open(key, datagram, via, service, may_open)
             return
-        if entry.epoch != self.agents.epoch:
+        if entry.epoch != self.agents.epoch or not entry.unpinned_header:
             self._refresh(key, entry)
         entry.used = True
         entry.via = via
@@ -290,7 +292,7 @@
         return (
             entry.service == service.name
             and not self._is_out(service, entry.owner, None)
-            and not self.agents.is_gone(entry.owner)
+            and self.agents.may_hold(entry.owner, entry.epoch)
         )
 
     def _open(
@@ -505,6 +507,7 @@
             is_coap=is_coap,
             via=None if before is None else before.via,
             asked=0 if before is None else before.asked,
+            epoch=self.agents.epoch,
         )
         if is_coap and not answer.pin:
             # The agent turned the request away and does not hold the flow.
--- a/src/bramleypin/internal/balancer/receiver.py
+++ b/src/bramleypin/internal/balancer/receiver.py
@@ -94,8 +94,7 @@
         agents.learn(sender, notice.incarnation)
         if notice.revision > self._store.view.revision:
             self._sync.report_newer(notice.revision, notice.control)
-        if notice.reason in (
-            frames.Reason.FAILURE_DOMAIN_OUT,
-            frames.Reason.WRONG_SERVICE,
-        ):
+        if notice.reason is frames.Reason.STALE_INCARNATION:
+            agents.doubt(sender)
+        elif notice.reason is not frames.Reason.NEWER_REVISION:
             agents.refused(sender)
--- a/src/bramleypin/internal/net/datagram.py
+++ b/src/bramleypin/internal/net/datagram.py
@@ -70,17 +70,19 @@
 
     def send_burst(
         self, burst: list[tuple[bytes, address_module.Address]]
-    ) -> None:
-        """Send datagrams; drops those that the kernel does not take."""
+    ) -> int:
+        """Send datagrams; returns how many the kernel did not take."""
         sendto = self._sendto
         rest = iter(burst)
+        failures = 0
         while True:
             try:
                 for data, to in rest:
                     sendto(data, to)
-                return
+                self.send_failures += failures
+                return failures
             except OSError:
-                self.send_failures += 1
+                failures += 1
 
     async def receive(self) -> tuple[bytes, address_module.Address]:
         """Wait for a datagram and its sender.
@@ -156,13 +158,16 @@
 
 def send_burst(
     port: typing.Any, burst: list[tuple[bytes, address_module.Address]]
-) -> None:
-    """Send datagrams from a port, in one call if it can do so."""
+) -> int:
+    """Send datagrams from a port, in one call if it can do so.
+
+    Returns how many the kernel did not take, as far as the port tells.
+    """
     if isinstance(port, UdpPort):
-        port.send_burst(burst)
-        return
+        return port.send_burst(burst)
     for data, to in burst:
         port.send(data, to)
+    return 0
 
 
 class ConnectedPort:
