Encode addresses in frames as six bytes

Cause: text addresses lengthen the part of a frame that is signed with each datagram, and a signed frame could name a host instead of an address. Change: a table of field codecs packs addresses, and field names are looked up once a class.

--- a/src/bramleypin/internal/wire/frames.py
+++ b/src/bramleypin/internal/wire/frames.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import socket
 import struct
 import typing
 
@@ -136,26 +137,59 @@
 _CLASS_BY_KIND: dict[int, type] = {
     item.KIND: item for item in (Forward, Answer, Probe, ProbeAnswer, Notice)
 }
-_ADDRESS_FIELDS = frozenset(
-    ("service_address", "caller", "return_address", "owner", "control")
-)
+_NAMES_BY_CLASS: dict[type, tuple[str, ...]] = {
+    item: tuple(field.name for field in dataclasses.fields(item))
+    for item in _CLASS_BY_KIND.values()
+}
+_ADDRESS = struct.Struct("!4sH")
+
+
+def _pack_address(item: address.Address) -> bytes:
+    return _ADDRESS.pack(socket.inet_aton(item[0]), item[1])
+
+
+def _unpack_address(value: bytes) -> address.Address:
+    host, port = _ADDRESS.unpack(value)
+    return address.Address(socket.inet_ntoa(host), port)
+
+
+def _pack_candidates(items: tuple[Candidate, ...]) -> list[list]:
+    return [
+        [_pack_address(x.data), int(x.state), x.load, x.incarnation]
+        for x in items
+    ]
+
+
+def _unpack_candidates(value: list) -> tuple[Candidate, ...]:
+    return tuple(
+        Candidate(_unpack_address(data), State(state), load, number)
+        for data, state, load, number in value
+    )
+
+
+# Addresses take 6 bytes, which keeps the part of a frame short that is signed
+# with each datagram, and can hold nothing but an IPv4 address and a port.
+_CODEC_BY_FIELD: dict[str, tuple[typing.Callable, typing.Callable]] = {
+    **dict.fromkeys(
+        ("service_address", "caller", "return_address", "owner", "control"),
+        (_pack_address, _unpack_address),
+    ),
+    "candidates": (_pack_candidates, _unpack_candidates),
+    "state": (int, State),
+    "reason": (int, Reason),
+}
 
 
 def encode_header(frame: Frame) -> bytes:
     """Encode a frame's header; constant for the datagrams of one flow."""
     values: list[typing.Any] = [frame.KIND]
-    for field in dataclasses.fields(frame):
-        value = getattr(frame, field.name)
-        if field.name == "candidates":
-            value = [[*item.data, *_candidate_tail(item)] for item in value]
-        values.append(value)
+    for name in _NAMES_BY_CLASS[type(frame)]:
+        value = getattr(frame, name)
+        codec = _CODEC_BY_FIELD.get(name)
+        values.append(value if codec is None else codec[0](value))
     return cbor2.dumps(values)
 
 
-def _candidate_tail(item: Candidate) -> tuple[int, float, int]:
-    return int(item.state), item.load, item.incarnation
-
-
 def head(header: bytes) -> bytes:
     """Return what stands between a frame's sequence and its payload."""
     return _LENGTH.pack(len(header)) + header
@@ -195,30 +229,15 @@
     try:
         values = cbor2.loads(header)
         kind = _CLASS_BY_KIND[values[0]]
-        fields = dataclasses.fields(kind)
-        if len(values) != len(fields) + 1:
+        names = _NAMES_BY_CLASS[kind]
+        if len(values) != len(names) + 1:
             raise errors.InvalidFrame("frame_fields")
-        arguments = {}
-        for field, value in zip(fields, values[1:], strict=True):
-            arguments[field.name] = _decode_field(field.name, value)
-        return kind(**arguments)
+        for place, name in enumerate(names, 1):
+            codec = _CODEC_BY_FIELD.get(name)
+            if codec is not None:
+                values[place] = codec[1](values[place])
+        return kind(*values[1:])
     except errors.InvalidFrame:
         raise
     except Exception as error:
         raise errors.InvalidFrame("frame_header", str(error)) from error
-
-
-def _decode_field(name: str, value: typing.Any) -> typing.Any:
-    if name in _ADDRESS_FIELDS:
-        host, port = value
-        return address.Address(host, port)
-    if name == "candidates":
-        return tuple(
-            Candidate(address.Address(host, port), State(state), load, number)
-            for host, port, state, load, number in value
-        )
-    if name == "state":
-        return State(value)
-    if name == "reason":
-        return Reason(value)
-    return value
