Show the most urgent service first in the burn report

Cause: seen in the rendered page: labels ran into curves, columns of the window tables did not line up, and an alarm stood below a healthy service. Change: order by urgency, halo behind labels, fixed columns. Conclusion: the page reads from the top.

--- a/src/bramleypin/internal/tool/burn_page.py
+++ b/src/bramleypin/internal/tool/burn_page.py
@@ -32,7 +32,7 @@
 th,td{padding:5px 12px 5px 0;border-bottom:1px solid var(--line);
 vertical-align:top}tr:last-child td{border-bottom:0}
 td.n,th.n{text-align:right}svg{width:100%;height:auto;display:block}
-svg.spark{width:200px;height:22px}svg.bar{width:190px;height:14px}
+svg.spark{width:260px;height:26px}svg.bar{width:190px;height:14px;margin-top:5px}
 .grid{stroke:var(--line)}.axis{fill:var(--soft);color:var(--soft);
 font-size:11px}.curve{fill:none;stroke:var(--curve);stroke-width:2;
 stroke-linejoin:round}.thin{stroke-width:1.5}.limit{stroke-dasharray:5 4}
@@ -40,6 +40,8 @@
 .label{font-size:11px}.label.page{fill:var(--page)}
 .label.warn{fill:var(--warn)}.track{fill:var(--track)}
 .fill{fill:var(--curve)}.fill.high{fill:var(--warn)}
+.label{paint-order:stroke;stroke:var(--paper);stroke-width:4px}
+.even{table-layout:fixed}.wanted{white-space:nowrap}
 .scroll{overflow-x:auto}
 """
 
@@ -87,7 +89,11 @@
 
 def render(report: Report) -> str:
     """Return the page; it loads nothing from elsewhere."""
-    sections = [_service(item, report) for item in report.services]
+    urgent = ("page", "warn", "ok")
+    ordered = sorted(
+        report.services, key=lambda item: urgent.index(item.level)
+    )
+    sections = [_service(item, report) for item in ordered]
     return (
         '<!doctype html>\n<html lang="en"><head><meta charset="utf-8">'
         '<meta name="viewport" content="width=device-width">'
@@ -137,8 +143,8 @@
     if item.success is None:
         return '<p class="soft">No daemon knows the objective.</p>'
     return (
-        f'<p class="soft">{item.success:.4%} of requests must be answered '
-        f"within {item.max_latency_s:g} s.</p>".replace(".0000%", "%")
+        f'<p class="soft">{100 * item.success:.6g}% of requests must be '
+        f"answered within {item.max_latency_s:g} s.</p>"
     )
 
 
@@ -151,7 +157,7 @@
         for name, window in item.window_by_name.items()
     )
     return (
-        "<h3>Windows</h3><table><tr><th>last</th>"
+        '<h3>Windows</h3><table class="even"><tr><th>last</th>'
         '<th class="n">burn rate</th><th class="n">bad requests</th>'
         '<th class="n">requests</th><th class="n">window covered</th></tr>'
         f"{rows}</table>"
@@ -189,7 +195,7 @@
             f"<tr><td>{html.escape(figure.name)}<br>"
             f'<span class="soft">{html.escape(figure.meaning)}</span></td>'
             f'<td class="n {style}">{amount(figure.value)}</td>'
-            f"<td>{html.escape(figure.wanted)}</td></tr>"
+            f'<td class="wanted">{html.escape(figure.wanted)}</td></tr>'
         )
     return (
         "<section><h2>Promises to callers</h2>"
