--- a/src/bramleypin/internal/tool/promises.py
+++ b/src/bramleypin/internal/tool/promises.py
@@ -15,6 +15,11 @@
     "balancer.dropped.silent",
     "balancer.dropped.no_candidates",
 )
+REFUSED = (
+    "balancer.refused",
+    "agent.records.full",
+    "agent.flows.refused",
+)
 INTO_DOMAIN_OUT = ("agent.dropped.domain_out",)
 WRONG_SERVICE = ("agent.dropped.wrong_service",)
 
@@ -55,6 +60,13 @@
             "datagrams for endpoints that restarted, answers that a caller "
             "never confirmed, and openings without a live endpoint",
         ),
+        _counted(
+            "requests refused before an endpoint was asked",
+            REFUSED,
+            count_by_name,
+            None,
+            "not in the burn rate, which counts what agents took on",
+        ),
         _counted(
             "packets into a failure domain that is out",
             INTO_DOMAIN_OUT,
