Compare service times with those of the same kind of request

Cause: in the demonstration, warm endpoints were treated as cold: a download's later blocks take 3 ms and its first one 20 to 80 ms, so the mean of eight mixed answers jumped fourfold; and one stall of the process counted for eight. Change: times are compared with the mean of their method, first path segment and block position, and a ratio counts at most 8. The demonstration waits for the balancers' leases before it sends traffic.

--- a/src/bramleypin/demo/deployment.py
+++ b/src/bramleypin/demo/deployment.py
@@ -30,6 +30,7 @@
 SLOTS = 5
 RAMP_S = 2.0
 START_TIMEOUT_S = 10.0
+POLL_S = 0.02
 SERVICE_TIME_S = 0.08
 PLAN_BYTES = 24_000
 
@@ -255,6 +256,8 @@
         await host.kernel.started.wait()
         store = host.kernel.get("view")
         await store.wait_for_change(self.revision - 1)
+        while not host.kernel.get("lease").is_valid():
+            await anyio.sleep(POLL_S)
 
     def publish(self) -> None:
         """Publish the next revision and the VM list."""
--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -212,9 +212,9 @@
         self.running -= 1
         self._admit_waiting()
 
-    def answered(self, service_time_s: float) -> None:
-        """Learn from an answer of the endpoint."""
-        self.times.add(service_time_s)
+    def answered(self, service_time_s: float, kind: str = "") -> None:
+        """Learn from an answer to a kind of request of the endpoint."""
+        self.times.add(service_time_s, kind)
         ratio = self.times.recent_ratio()
         if self.times.has_jumped():
             self.times.clear()
--- a/src/bramleypin/internal/agent/cold_ramp.py
+++ b/src/bramleypin/internal/agent/cold_ramp.py
@@ -16,9 +16,16 @@
 # about once in ten million answers.
 SAMPLES = 8
 JUMP = 4.0
+
+# A ratio counts at most this much, so that one stall of the process, seen as
+# one answer 40 times too late, does not look like a cold endpoint.
+RATIO_LIMIT = 2 * JUMP
 LONG_WEIGHT = 1 / 128
 LONG_SAMPLES = 32
 
+# Further kinds of requests share one mean, so that memory stays bounded.
+KINDS_KEPT = 64
+
 
 class ColdRamp:
     """The limit on requests in flight of an endpoint that may be cold."""
@@ -52,27 +59,45 @@
 
 
 class ServiceTimes:
-    """Recent and long-term service times of the endpoint, in seconds."""
+    """Recent and long-term service times of the endpoint, in seconds.
+
+    Times are compared with the mean of their own kind of request. Without
+    that, a download's quick later blocks made its next first block look like
+    a jump, and a warm endpoint was treated as cold.
+    """
 
     def __init__(self) -> None:
-        self._recent: collections.deque[float] = collections.deque(
+        self._recent_ratios: collections.deque[float] = collections.deque(
             maxlen=SAMPLES
         )
-        self.mean_s = 0.0
+        self._mean_by_kind: dict[str, Mean] = {}
+        self._overall = Mean()
         self._count = 0
 
-    def add(self, service_time_s: float) -> None:
-        """Record the time of one answered request."""
-        self._recent.append(service_time_s)
+    @property
+    def mean_s(self) -> float:
+        """Mean over all kinds; 0 before the first answer."""
+        return self._overall.value_s
+
+    def add(self, service_time_s: float, kind: str = "") -> None:
+        """Record the time of one answered request of a kind."""
+        self._overall.add(service_time_s)
         self._count += 1
-        weight = max(1 / self._count, LONG_WEIGHT)
-        self.mean_s += weight * (service_time_s - self.mean_s)
+        if kind not in self._mean_by_kind:
+            if len(self._mean_by_kind) >= KINDS_KEPT:
+                kind = ""
+            self._mean_by_kind.setdefault(kind, Mean())
+        mean = self._mean_by_kind[kind]
+        mean.add(service_time_s)
+        known = mean.count >= SAMPLES and mean.value_s > 0
+        ratio = service_time_s / mean.value_s if known else 1.0
+        self._recent_ratios.append(min(ratio, RATIO_LIMIT))
 
     def recent_ratio(self) -> float:
-        """Return the recent mean over the long one; 1 if too few are known."""
-        if self._count < LONG_SAMPLES or self.mean_s <= 0:
+        """Return recent over usual time; 1 if too few are known."""
+        if self._count < LONG_SAMPLES or not self._recent_ratios:
             return 1.0
-        return sum(self._recent) / len(self._recent) / self.mean_s
+        return sum(self._recent_ratios) / len(self._recent_ratios)
 
     def has_jumped(self) -> bool:
         """Tell whether service has become much slower at once."""
@@ -80,5 +105,19 @@
 
     def clear(self) -> None:
         """Forget the recent times, so that one jump is noticed once."""
-        self._recent.clear()
+        self._recent_ratios.clear()
         self._count = min(self._count, LONG_SAMPLES - SAMPLES)
+
+
+class Mean:
+    """A mean that follows slow changes."""
+
+    def __init__(self) -> None:
+        self.value_s = 0.0
+        self.count = 0
+
+    def add(self, service_time_s: float) -> None:
+        """Add a value with a weight that falls to ``LONG_WEIGHT``."""
+        self.count += 1
+        weight = max(1 / self.count, LONG_WEIGHT)
+        self.value_s += weight * (service_time_s - self.value_s)
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -133,7 +133,7 @@
         )
         record.running = exchange
         if await exchange.wait(record.deadline_s):
-            self._conclude_exchange(flow, record, exchange)
+            self._conclude_exchange(flow, record, exchange, message)
         else:
             await self._outwait(flow, record, exchange)
 
@@ -182,10 +182,11 @@
         flow: flow_module.Flow,
         record: requests.Record,
         exchange: channel_module.Exchange,
+        message: coap.Message,
     ) -> None:
         end = exchange.end
         if end is channel_module.End.ANSWERED:
-            self._conclude_answered(flow, record, exchange)
+            self._conclude_answered(flow, record, exchange, message)
         elif end in (
             channel_module.End.REFUSED,
             channel_module.End.CANCELLED,
@@ -201,6 +202,7 @@
         flow: flow_module.Flow,
         record: requests.Record,
         exchange: channel_module.Exchange,
+        message: coap.Message,
     ) -> None:
         response = exchange.response
         if response.code == coap.SERVICE_UNAVAILABLE:
@@ -214,7 +216,8 @@
             self._turn_away(flow, record, answer)
         else:
             now = anyio.current_time()
-            self._admission.answered(now - exchange.started_s)
+            took_s = now - exchange.started_s
+            self._admission.answered(took_s, _kind_of(record, message))
             record.ticket.move(requests.TicketState.ANSWERED)
             flow.note_transfer(_has_more(response))
             self.conclude(flow, record, _for_caller(response))
@@ -284,6 +287,14 @@
     return copied
 
 
+def _kind_of(record: requests.Record, message: coap.Message) -> str:
+    """Return which requests should take about as long as this one."""
+    blocks = (message.opt.block1, message.opt.block2)
+    later = any(item is not None and item.block_number for item in blocks)
+    first = message.opt.uri_path[:1]
+    return "/".join((record.method, *first, "later" if later else "first"))
+
+
 def _has_more(response: coap.Message) -> bool:
     block2 = response.opt.block2
     if block2 is not None and block2.more:
