Test the kernel and the daemon's program; name unknown settings

Cause: a misspelt table was reported as '(top level) = None'. Change: the error names the key and the name that was probably meant; a missing key says that it is required. The daemon logs when all its services have started. Tests cover the order of start and stop, a failing service, SIGTERM, SIGHUP and wrong settings of the daemon as a process.

--- a/src/bramleypin/daemon.py
+++ b/src/bramleypin/daemon.py
@@ -51,11 +51,17 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(_handle_signals, kernel, tasks.cancel_scope)
         _log.info("starting", role=settings.role, id=settings.id)
+        tasks.start_soon(_announce, kernel)
         await kernel.run()
         _log.info("stopped")
         tasks.cancel_scope.cancel()
 
 
+async def _announce(kernel: kernel_module.Kernel) -> None:
+    await kernel.started.wait()
+    _log.info("started all services", count=len(kernel.service_by_name))
+
+
 async def _handle_signals(
     kernel: kernel_module.Kernel, scope: anyio.CancelScope
 ) -> None:
--- a/src/bramleypin/settings.py
+++ b/src/bramleypin/settings.py
@@ -1,7 +1,9 @@
 """The settings of a daemon: one frozen object, validated when loaded."""
 
 import binascii
+import difflib
 import pathlib
+import re
 import tomllib
 import typing
 
@@ -200,15 +202,48 @@
     try:
         settings = msgspec.convert(table, Settings)
     except msgspec.ValidationError as error:
-        message, _, path = str(error).partition(" - at ")
-        key = path.strip("`").removeprefix("$.") or "(top level)"
-        raise errors.InvalidSettings(
-            file, key, _value_at(table, key), message
-        ) from error
+        raise _invalid(file, table, str(error)) from error
     _check(settings, file)
     return settings
 
 
+def _invalid(file: str, table: dict, text: str) -> errors.InvalidSettings:
+    """Return the error for what msgspec says about a settings table."""
+    message, _, path = text.partition(" - at ")
+    key = path.strip("`").removeprefix("$").removeprefix(".")
+    field = _QUOTED_FIELD.search(message)
+    if field is not None:
+        key = f"{key}.{field.group(1)}" if key else field.group(1)
+        if "unknown field" in message:
+            message = _known_names(field.group(1), key)
+        else:
+            message = "this key is required; add it"
+    return errors.InvalidSettings(file, key, _value_at(table, key), message)
+
+
+def _known_names(wrong: str, key: str) -> str:
+    """Say which name was probably meant, or which ones there are."""
+    parent = key.rpartition(".")[0]
+    kind = _TABLE_BY_KEY.get(parent, Settings)
+    names = kind.__struct_fields__
+    near = difflib.get_close_matches(wrong, names, n=1)
+    if near:
+        return f"unknown key; did you mean {near[0]}?"
+    return f"unknown key; use one of: {', '.join(names)}"
+
+
+_QUOTED_FIELD = re.compile(r"field `([^`]+)`")
+_TABLE_BY_KEY: dict[str, type[_Table]] = {
+    "addresses": Addresses,
+    "ingress": Ingress,
+    "platform": Platform,
+    "endpoint": Endpoint,
+    "metrics": Metrics,
+    "logs": Logs,
+    "limits": Limits,
+}
+
+
 def _value_at(table: dict, key: str) -> object:
     value: object = table
     for part in key.split("."):
--- /dev/null
+++ b/tests/cover/test_kernel.py
@@ -0,0 +1,161 @@
+"""The kernel, the daemon's program and the settings."""
+
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import anyio
+import msgspec
+import parameterized
+
+from bramleypin import errors
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.net import environment
+from bramleypin.internal import services
+from bramleypin import settings as settings_module
+
+KEY = "ab" * settings_module.KEY_BYTES
+SETTINGS = f"""
+role = "balancer"
+id = "entry-1"
+failure_domain = "austin"
+keys = ["{KEY}"]
+[addresses]
+data = "127.0.0.1:0"
+control = "127.0.0.1:0"
+"""
+START_TIMEOUT_S = 20
+
+
+def _kernel_with(
+    steps: list[str], failing: str | None = None
+) -> kernel_module.Kernel:
+    """Return a kernel with three services that note what happens."""
+
+    def make(name: str) -> type:
+        class Noted(kernel_module.Service):
+            async def start(self) -> None:
+                steps.append(f"start {name}")
+
+            async def run(self) -> None:
+                if name == failing:
+                    raise errors.LinkClosed("gone")
+                await anyio.sleep_forever()
+
+            async def drain(self) -> None:
+                steps.append(f"drain {name}")
+
+            async def stop(self) -> None:
+                steps.append(f"stop {name}")
+
+        return Noted
+
+    role = "test"
+    for name, needs in (("top", ("middle",)), ("middle", ("base",))):
+        kernel_module.service(name, (role,), needs)(make(name))
+    kernel_module.service("base", (role,))(make("base"))
+    parsed = settings_module.parse(SETTINGS)
+    made = msgspec.structs.replace(parsed, role=role)
+    env = environment.Environment(
+        None, None, None, None, random=random.Random(1)
+    )
+    return kernel_module.Kernel(made, env)
+
+
+class TestKernel(unittest.TestCase):
+    def tearDown(self) -> None:
+        entries = kernel_module.SERVICES.entry_by_name
+        for key in [key for key in entries if key.startswith("test/")]:
+            del entries[key]
+
+    def test_services_stop_in_the_reverse_order_of_their_start(self):
+        """Guards against a service that outlives one that it needs."""
+        steps: list[str] = []
+        kernel = _kernel_with(steps)
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kernel.run)
+                await kernel.started.wait()
+                kernel.shutdown()
+
+        anyio.run(main, backend="trio")
+        order = ["base", "middle", "top"]
+        back = list(reversed(order))
+        expected = [f"start {name}" for name in order]
+        expected += [f"drain {name}" for name in back]
+        expected += [f"stop {name}" for name in back]
+        self.assertEqual(expected, steps)
+
+    def test_a_failing_service_ends_the_daemon_and_is_named(self):
+        """Guards against a daemon that runs on with a part missing."""
+        steps: list[str] = []
+        kernel = _kernel_with(steps, failing="middle")
+        with self.assertRaises(errors.ServiceFailed) as caught:
+            anyio.run(kernel.run, backend="trio")
+        self.assertEqual("middle", caught.exception.service)
+        self.assertIsInstance(caught.exception.cause, errors.LinkClosed)
+        self.assertIn("stop base", steps)
+
+    @parameterized.parameterized.expand([("balancer",), ("agent",)])
+    def test_every_service_of_a_role_has_what_it_needs(self, role):
+        """Guards against a name that is needed but not registered."""
+        services.load(role)
+        started = [item.name for item in kernel_module.start_order(role)]
+        for entry in kernel_module.start_order(role):
+            for needed in entry.needs:
+                before = started.index(needed) < started.index(entry.name)
+                self.assertTrue(before, f"{entry.name} needs {needed}")
+
+
+class TestDaemon(unittest.TestCase):
+    def _run(self, text: str, *arguments: str) -> subprocess.Popen:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "settings.toml"
+        path.write_text(text, encoding="utf-8")
+        program = "from bramleypin import daemon; daemon.main()"
+        command = [sys.executable, "-c", program, "--settings", str(path)]
+        return subprocess.Popen(
+            [*command, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
+    def test_sigterm_ends_a_daemon_gracefully(self):
+        """Guards against a shutdown that drops work or reports failure."""
+        process = self._run(SETTINGS)
+        lines = []
+        for line in process.stderr:
+            lines.append(line)
+            if "kernel: started" in line:
+                process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGTERM)
+                break
+        _, rest = process.communicate(timeout=START_TIMEOUT_S)
+        self.assertEqual(0, process.returncode, "".join(lines) + rest)
+        self.assertIn("kernel: stopped", rest)
+
+    @parameterized.parameterized.expand(
+        [
+            ("unknown_role", 'role = "balancer"', 'role = "proxy"', "role"),
+            ("unknown_key", "[addresses]", "[adresses]", "did you mean addr"),
+            ("missing_key", 'id = "entry-1"', "", "id = None: this key is"),
+            ("short_key", KEY, "ab", "keys"),
+            ("bad_address", '"127.0.0.1:0"', '"localhost"', "addresses.data"),
+        ]
+    )
+    def test_wrong_settings_end_the_daemon_with_one_line(
+        self, _, before, after, key
+    ):
+        """Guards against a traceback for an operator's mistake."""
+        process = self._run(SETTINGS.replace(before, after), "--check")
+        _, text = process.communicate(timeout=START_TIMEOUT_S)
+        self.assertEqual(2, process.returncode, text)
+        self.assertEqual(1, len(text.strip().splitlines()), text)
+        self.assertIn(key, text)
