Share routes between the flows of an agent

Cause: each flow kept its own frame header, which cost memory, and each accepted configuration made every cached flow encode its header again. Change: FORWARD carries the flow's addresses last, as they came from the fabric, so that all flows of an agent share one head; the checks against the view are made once a route. Answers and refusals have modules of their own. Conclusion: a new configuration costs one check a route.

--- a/src/bramleypin/internal/balancer/agents.py
+++ b/src/bramleypin/internal/balancer/agents.py
@@ -23,8 +23,7 @@
 
     ``silent_since_s`` is when a probe first went unanswered, and 0 while the
     agent answers. ``probe`` is that probe, for asking again, and
-    ``failure_domain`` where the agent is. Cached flows without a pin that
-    were checked before ``doubted_epoch`` may not be held any more.
+    ``failure_domain`` where the agent is.
     """
 
     address: address.Address
@@ -35,7 +34,6 @@
     refused_until_s: float = 0.0
     suspect_until_s: float = 0.0
     gone: bool = False
-    doubted_epoch: int = 0
 
 
 class Agents:
@@ -60,23 +58,22 @@
         agent = self._agent_by_address.get(at)
         return 0 if agent is None else agent.incarnation
 
-    def learn(self, at: address.Address, incarnation: int) -> None:
-        """Note that an agent has sent a frame under an incarnation."""
+    def learn(self, at: address.Address, incarnation: int) -> bool:
+        """Note that an agent has sent a frame under an incarnation.
+
+        Returns whether it must have restarted.
+        """
         agent = self._get(at)
-        if agent.incarnation != incarnation:
-            restarted = agent.incarnation != 0
-            agent.incarnation = incarnation
-            if restarted:
-                self.doubt(at)
         if agent.silent_since_s:
             agent.silent_since_s = 0.0
             agent.suspect_until_s = 0.0
             agent.gone = False
-
-    def doubt(self, at: address.Address) -> None:
-        """Have the flows without a pin at an agent looked for anew."""
-        self.epoch += 1
-        self._get(at).doubted_epoch = self.epoch
+        if agent.incarnation == incarnation:
+            return False
+        restarted = agent.incarnation != 0
+        agent.incarnation = incarnation
+        self.epoch += restarted
+        return restarted
 
     def suspect(
         self, at: address.Address, failure_domain: str, probe: bytes
@@ -103,20 +100,16 @@
         now = anyio.current_time()
         return now < max(agent.suspect_until_s, agent.refused_until_s)
 
-    def may_hold(self, at: address.Address, epoch: int) -> bool:
-        """Tell whether a flow that was checked at an epoch is still there.
+    def is_lost(self, at: address.Address) -> bool:
+        """Tell whether cached flows at an agent should be looked for anew.
 
-        One lost probe is no reason against it: an agent that is asked once a
-        second has to stay silent for 5 s first.
+        One lost probe is no reason: an agent that is asked once a second has
+        to stay silent for 5 s first.
         """
         agent = self._agent_by_address.get(at)
         if agent is None:
-            return True
-        return (
-            not agent.gone
-            and epoch >= agent.doubted_epoch
-            and anyio.current_time() >= agent.refused_until_s
-        )
+            return False
+        return agent.gone or anyio.current_time() < agent.refused_until_s
 
     def silent(self) -> list[Agent]:
         """Return the agents to ask again; call it once a second.
--- a/src/bramleypin/internal/balancer/fast_path.py
+++ b/src/bramleypin/internal/balancer/fast_path.py
@@ -11,6 +11,7 @@
 from bramleypin.internal.balancer import flow_key
 from bramleypin.internal.wire import frames
 from bramleypin.internal.wire import mac
+from bramleypin.internal.wire import proxy_header
 
 if typing.TYPE_CHECKING:
     from bramleypin.internal.balancer import forwarder as forwarder_module
@@ -20,7 +21,11 @@
 # it resumes, so bursts are short.
 BURST = 16
 
-Items = typing.Iterable[tuple[bytes, address.Address]]
+# A FORWARD's head is followed by the flow's addresses and the datagram, as
+# they came from the fabric.
+_FLOW_BLOCK_AT = proxy_header.HEADER_BYTES - proxy_header.ADDRESS_BYTES
+
+Items = typing.Iterable[tuple[bytes, address.Address | None]]
 
 
 class FastPath:
@@ -33,21 +38,21 @@
     def forward(self, items: Items) -> None:
         """Forward datagrams with PROXY v2 headers; ``items`` has senders."""
         forwarder = self._forwarder
-        forwarder.take_view()
+        forwarder.routes.take_view()
         epoch = forwarder.agents.epoch
         find_entry = forwarder.cache.get
         start_mac = self._prekeyed.copy
         pack_sequence = frames.SEQUENCE.pack
         key_bytes = flow_key.KEY_BYTES
+        block_at = _FLOW_BLOCK_AT
         tick = forwarder.tick
         sequence = forwarder.sequence
         ready = []
         for data, via in items:
-            key = data[:key_bytes]
-            entry = find_entry(key)
+            entry = find_entry(data[:key_bytes])
             if (
                 entry is None
-                or entry.fast_epoch != epoch
+                or (route := entry.route).epoch != epoch
                 or not (
                     data.startswith(entry.pin, entry.pin_at)
                     or entry.finds_pin(data)
@@ -60,13 +65,13 @@
                 continue
             entry.used = True
             entry.via = via
-            if 0 < data[entry.code_at] < 32:
+            if 0 < data[route.code_at] < 32:
                 entry.asked = tick
             sequence += 1
-            body = pack_sequence(sequence) + entry.head + data[key_bytes:]
+            body = pack_sequence(sequence) + route.head + data[block_at:]
             checksum = start_mac()
             checksum.update(body)
-            ready.append((checksum.digest() + body, entry.owner))
+            ready.append((checksum.digest() + body, route.owner))
         forwarder.sequence = sequence
         if ready:
             forwarder.send_burst(ready)
--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -4,30 +4,35 @@
 MAC. All others pass the checks at the border first.
 """
 
+import dataclasses
+
 import anyio
 
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal.balancer import agents as agents_module
+from bramleypin.internal.balancer import answers
 from bramleypin.internal.balancer import drops
 from bramleypin.internal.balancer import fast_path
 from bramleypin.internal.balancer import flow_cache
 from bramleypin.internal.balancer import flow_key
 from bramleypin.internal.balancer import inspection
+from bramleypin.internal.balancer import refusals
+from bramleypin.internal.balancer import routes as routes_module
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.model import view as view_module
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics as metrics_module
 from bramleypin.internal.wire import coap
 from bramleypin.internal.wire import frames
-from bramleypin.internal.wire import pin as pin_module
+from bramleypin.internal.wire import mac
+from bramleypin.internal.wire import proxy_header
 
 DRAIN_TIMEOUT_S = 120.0
 DRAIN_QUIET_S = 1.0
 TICK_S = 30.0
 # A caller waits for at most 120 s.
 FORGET_AFTER_TICKS = 5
-FIRST_RESPONSE_CODE = 64
 # The home agent keeps its decision for 30 s; asking it for 2 s and probing
 # again after that finds the owner as soon as it holds the flow.
 HOME_S = 2.0
@@ -38,9 +43,6 @@
     "datagrams",
     "sent to the owner of their flow",
 )
-ANSWERED = metrics_module.declare(
-    "balancer.answered", "counter", "datagrams", "sent back to callers"
-)
 REFUSED = metrics_module.declare(
     "balancer.refused",
     "counter",
@@ -57,6 +59,17 @@
 _log = logs.get("balancer")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A caller's datagram with what the view says of its destination."""
+
+    key: bytes
+    service_address: address.Address
+    datagram: bytes
+    via: address.Address | None
+    service: view_module.ServiceView
+
+
 @kernel_module.service(
     "forwarder",
     roles=("balancer",),
@@ -79,22 +92,19 @@
         kernel = self.kernel
         self._keys = kernel.settings.key_bytes
         self._port = kernel.get("port")
-        self._store = kernel.get("view")
         self._lease = kernel.get("lease")
         self._metrics = kernel.get("metrics")
         self._trace = kernel.get("trace")
         self._ingress = kernel.get("ingress")
         self._openings = kernel.get("openings")
-        self._view = self._store.view
-        self._out_codes: frozenset[int] = frozenset()
         self.sequence = 0
-        self.nonce = kernel.environment.random.getrandbits(63)
         self.agents = agents_module.Agents()
+        self.routes = routes_module.Routes(kernel, self.agents)
         self.cache = flow_cache.FlowCache(kernel.settings.limits.flow_cache)
         self.tick = FORGET_AFTER_TICKS
         self.draining = False
         self._fast_path = fast_path.FastPath(self, self._keys[0])
-        self._answers = 0
+        self.answers = answers.Answers(kernel, self)
         kernel.get("status").register("balancer", self._status)
 
     async def run(self) -> None:
@@ -113,8 +123,8 @@
         self.draining = True
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
             seen = -1
-            while seen != self._answers or self.outstanding():
-                seen = self._answers
+            while seen != self.answers.passed or self.outstanding():
+                seen = self.answers.passed
                 await anyio.sleep(DRAIN_QUIET_S)
 
     def outstanding(self) -> int:
@@ -155,18 +165,6 @@
         """
         self._fast_path.forward(items)
 
-    def take_view(self) -> None:
-        """Make every cached flow be checked if the view has changed."""
-        if self._store.view is self._view:
-            return
-        self._view = self._store.view
-        self._out_codes = frozenset(
-            pin_module.failure_domain_code(name)
-            for name in self._view.manifest.failure_domain_by_name
-            if self._view.is_out(name)
-        )
-        self.agents.epoch += 1
-
     def send_burst(self, ready: list[tuple[bytes, address.Address]]) -> None:
         """Send frames, if the view is confirmed at this moment."""
         if not self._lease.is_valid():
@@ -177,13 +175,6 @@
         if failures:
             self.drop("not_sent", failures)
 
-    def _send(
-        self, to: address.Address, header: bytes, datagram: bytes
-    ) -> None:
-        self.sequence += 1
-        frame = frames.seal(self._keys[0], self.sequence, header, datagram)
-        self.send_burst([(frame, to)])
-
     def handle_proxied(self, data: bytes, via: address.Address | None) -> None:
         """Handle one datagram whose flow is not ready in the cache."""
         try:
@@ -199,10 +190,6 @@
         except errors.InvalidFrame as error:
             self.drop(error.reason)
 
-    def _note_request(self, entry: flow_cache.Entry, datagram: bytes) -> None:
-        if entry.is_coap and coap.is_request(datagram[1]):
-            entry.asked = self.tick
-
     def _handle_in_full(
         self,
         key: bytes,
@@ -210,232 +197,146 @@
         datagram: bytes,
         via: address.Address | None,
     ) -> None:
-        entry = self.cache.get(key)
-        name = self._view.service_at(service_address)
-        service = None if name is None else self._view.service(name)
+        view = self.routes.view
+        name = view.service_at(service_address)
+        service = None if name is None else view.service(name)
         if service is None:
             self.drop("unknown_address")
             return
+        arrival = Arrival(key, service_address, datagram, via, service)
         if service.protocol != "coap":
-            self._by_cache(key, datagram, via, entry, service, True)
+            self._by_cache(arrival, True)
             return
         found = inspection.inspect(datagram, service.name, self._keys)
         if found.invalid_pin:
             self._metrics.count(INVALID_PIN)
             self._trace.record(flow_key.text(key), "ignore pin", "invalid")
-        if found.pin is None:
-            may_open = coap.is_request(found.code)
-            self._by_cache(key, datagram, via, entry, service, may_open)
-        elif self._is_out(
-            service, found.pin.owner, found.pin.failure_domain_code
-        ):
-            self._leave_domain(key, datagram, via, entry, service, found.code)
+        pin = found.pin
+        if pin is None:
+            self._by_cache(arrival, coap.is_request(found.code))
+        elif self.routes.is_out(service, pin.owner, pin.failure_domain_code):
+            self._leave_domain(arrival, found.code)
         else:
-            self._by_pin(key, datagram, via, service, found)
+            self._by_pin(arrival, found)
 
-    def _by_pin(
-        self,
-        key: bytes,
-        datagram: bytes,
-        via: address.Address | None,
-        service: view_module.ServiceView,
-        found: inspection.Inspection,
-    ) -> None:
+    def _by_pin(self, arrival: Arrival, found: inspection.Inspection) -> None:
         """Path 1: send to the owner that the pin names."""
         pin = found.pin
-        known = self.agents.incarnation(pin.owner)
-        entry = flow_cache.Entry(
-            service=service.name,
-            owner=pin.owner,
-            incarnation=known or pin.incarnation,
-            pin=found.pin_bytes,
-            is_coap=True,
-            via=via,
+        route = self.routes.get(
+            arrival.service,
+            arrival.service_address,
+            pin.owner,
+            pin.incarnation,
         )
-        header = self._refresh(key, entry)
-        self.cache.store(key, entry)
-        self._note_request(entry, datagram)
-        self._trace.record(
-            flow_key.text(key), f"forward to {pin.owner}", "pin"
-        )
-        self._send(entry.owner, header, datagram)
+        self.routes.refresh(route)
+        entry = self.cache.get(arrival.key)
+        if (
+            entry is None
+            or entry.route is not route
+            or entry.pin != found.pin_bytes
+        ):
+            entry = flow_cache.Entry(route, found.pin_bytes, 0)
+            self.cache.store(arrival.key, entry)
+            self._trace.record(
+                flow_key.text(arrival.key), f"forward to {pin.owner}", "pin"
+            )
+        self._send_on(arrival, entry, route.head)
 
-    def _by_cache(
-        self,
-        key: bytes,
-        datagram: bytes,
-        via: address.Address | None,
-        entry: flow_cache.Entry | None,
-        service: view_module.ServiceView,
-        may_open: bool,
-    ) -> None:
+    def _by_cache(self, arrival: Arrival, may_open: bool) -> None:
         """Path 2: send to the cached owner, or open the flow."""
-        if entry is not None and not self._still_holds(entry, service):
-            del self.cache[key]
+        entry = self.cache.get(arrival.key)
+        if entry is not None and not self._still_holds(entry):
+            del self.cache[arrival.key]
             entry = None
-        if entry is None:
-            self._open(key, datagram, via, service, may_open)
-            return
-        if entry.epoch != self.agents.epoch or not entry.unpinned_header:
-            self._refresh(key, entry)
-        entry.used = True
-        entry.via = via
-        self._note_request(entry, datagram)
-        self._send(entry.owner, entry.unpinned_header, datagram)
+        if entry is not None and entry.home:
+            forward = self.routes.forward(
+                entry.route, flow_key.decode(arrival.key)[0], opening=True
+            )
+            self._note(arrival, entry)
+            self._send(entry.route.owner, forward, arrival.datagram)
+        elif entry is not None:
+            self._send_on(arrival, entry, entry.route.unpinned_head)
+        elif self.draining:
+            self.drop("draining")
+        else:
+            self._openings.add(
+                arrival.key,
+                arrival.datagram,
+                arrival.via,
+                arrival.service.name,
+                may_open,
+            )
 
-    def _still_holds(
-        self, entry: flow_cache.Entry, service: view_module.ServiceView
-    ) -> bool:
+    def _still_holds(self, entry: flow_cache.Entry) -> bool:
         """Tell whether a cached owner may still be used without a pin."""
         if entry.home and anyio.current_time() >= entry.expires_s:
             return False
-        return (
-            entry.service == service.name
-            and not self._is_out(service, entry.owner, None)
-            and self.agents.may_hold(entry.owner, entry.epoch)
-        )
+        return self.routes.holds(entry.route)
 
-    def _open(
-        self,
-        key: bytes,
-        datagram: bytes,
-        via: address.Address | None,
-        service: view_module.ServiceView,
-        may_open: bool,
-    ) -> None:
-        if self.draining:
-            self.drop("draining")
-        else:
-            self._openings.add(key, datagram, via, service.name, may_open)
-
-    def _is_out(
-        self,
-        service: view_module.ServiceView,
-        owner: address.Address,
-        code: int | None,
-    ) -> bool:
-        """Tell whether an agent is in a failure domain that is out.
-
-        The view is asked first; a pin's code (16 bits of a hash) decides only
-        for an agent that the view no longer has.
-        """
-        for version in (service, *self._view.earlier(service.name)):
-            for endpoint in version.endpoints:
-                if endpoint.data == owner:
-                    return self._view.is_out(endpoint.failure_domain)
-        return code in self._out_codes
+    def _note(self, arrival: Arrival, entry: flow_cache.Entry) -> None:
+        entry.used = True
+        entry.via = arrival.via
+        if entry.route.is_coap and coap.is_request(arrival.datagram[1]):
+            entry.asked = self.tick
 
-    def _leave_domain(
-        self,
-        key: bytes,
-        datagram: bytes,
-        via: address.Address | None,
-        entry: flow_cache.Entry | None,
-        service: view_module.ServiceView,
-        code: int,
+    def _send_on(
+        self, arrival: Arrival, entry: flow_cache.Entry, head: bytes
     ) -> None:
+        """Send a datagram with a head of its entry's route."""
+        self._note(arrival, entry)
+        self.sequence += 1
+        body = b"%b%b%b%b" % (
+            frames.SEQUENCE.pack(self.sequence),
+            head,
+            arrival.key[-proxy_header.ADDRESS_BYTES :],
+            arrival.datagram,
+        )
+        frame = mac.sign(self._keys[0], body) + body
+        self.send_burst([(frame, entry.route.owner)])
+
+    def _leave_domain(self, arrival: Arrival, code: int) -> None:
         """Handle a pin into a failure domain that is out.
 
         An earlier copy of the request may have run there, so a request that
         must not run twice is answered "unknown" and not sent elsewhere.
         """
-        name = flow_key.text(key)
+        name = flow_key.text(arrival.key)
         if not coap.is_request(code):
             self.drop("not_a_request")
-        elif inspection.runs_once(code, service):
+        elif inspection.runs_once(code, arrival.service):
             self._trace.record(name, "answer unknown", "domain out")
             self.refuse(
-                key,
-                datagram,
-                via,
-                coap.GATEWAY_TIMEOUT,
-                coap.Outcome.UNKNOWN,
-                "failure domain out; the request may have run",
+                arrival.key, arrival.datagram, arrival.via, refusals.DOMAIN_OUT
             )
-        elif inspection.block_number(datagram) > 0:
+        elif inspection.block_number(arrival.datagram) > 0:
             self._trace.record(name, "answer incomplete", "domain out")
             self.refuse(
-                key,
-                datagram,
-                via,
-                coap.REQUEST_ENTITY_INCOMPLETE,
-                coap.Outcome.INVALID,
-                "failure domain out; start again from the first block",
+                arrival.key, arrival.datagram, arrival.via, refusals.INCOMPLETE
             )
         else:
             self._trace.record(name, "open anew", "domain out")
-            self._by_cache(key, datagram, via, entry, service, True)
+            self._by_cache(arrival, True)
 
     def refuse(
         self,
         key: bytes,
         datagram: bytes,
         via: address.Address | None,
-        code: int,
-        outcome: coap.Outcome,
-        reason: str,
-        max_age_s: int | None = None,
+        refusal: refusals.Refusal,
     ) -> None:
         """Answer a request with a typed outcome instead of forwarding it."""
         try:
-            request = coap.decode(datagram)
-            answer = coap.encode(
-                coap.typed_answer(
-                    request, code, outcome, reason, max_age_s=max_age_s
-                )
-            )
+            answer = refusal.answer(datagram)
         except errors.InvalidFrame as error:
             self.drop(error.reason)
             return
         self._metrics.count(REFUSED)
         self._ingress.send(answer, *flow_key.decode(key), via)
 
-    def _refresh(self, key: bytes, entry: flow_cache.Entry) -> bytes:
-        """Encode an entry's headers for the current view.
-
-        Returns the header for datagrams that carry the entry's pin.
-        """
-        entry.incarnation = (
-            self.agents.incarnation(entry.owner) or entry.incarnation
-        )
-        header = entry.unpinned_header = self._header(key, entry, False)
-        entry.epoch = self.agents.epoch
-        if entry.pin:
-            header = self._header(key, entry, True)
-        if entry.pin or not (entry.is_coap or entry.home):
-            entry.head = frames.head(header)
-            entry.fast_epoch = entry.epoch
-        return header
-
-    def _header(
-        self,
-        key: bytes,
-        entry: flow_cache.Entry,
-        pinned: bool,
-        elapsed_us: int = 0,
-        candidates: tuple[frames.Candidate, ...] = (),
-    ) -> bytes:
-        caller, service_address = flow_key.decode(key)
-        return frames.encode_header(
-            frames.Forward(
-                nonce=self.nonce,
-                incarnation=entry.incarnation,
-                revision=self._view.revision,
-                service=entry.service,
-                service_address=service_address,
-                caller=caller,
-                return_address=self._port.address,
-                pinned=pinned,
-                open=entry.home,
-                elapsed_us=elapsed_us,
-                candidates=candidates,
-            )
-        )
-
     def opened(
         self,
         key: bytes,
-        service: str,
+        service: view_module.ServiceView,
         owner: frames.Candidate,
         candidates: tuple[frames.Candidate, ...],
         waiting: list[tuple[bytes, float]],
@@ -446,74 +347,34 @@
         ``candidates`` is empty when ``owner`` holds the flow already.
         ``waiting`` has datagrams with their times of arrival in seconds.
         """
-        self.take_view()
-        view_service = self._view.service(service)
-        is_coap = view_service is None or view_service.protocol == "coap"
+        self.routes.take_view()
+        caller, service_address = flow_key.decode(key)
+        route = self.routes.get(
+            service, service_address, owner.data, owner.incarnation
+        )
+        self.routes.refresh(route)
+        now = anyio.current_time()
         entry = flow_cache.Entry(
-            service=service,
-            owner=owner.data,
-            incarnation=owner.incarnation,
-            pin=b"",
-            is_coap=is_coap,
-            via=via,
-            home=bool(candidates),
-            expires_s=anyio.current_time() + HOME_S,
+            route, home=bool(candidates), expires_s=now + HOME_S
         )
-        self._refresh(key, entry)
+        if not (route.is_coap or entry.home):
+            entry.pin_at = 0
         self.cache.store(key, entry)
         for datagram, arrived_s in waiting:
-            elapsed_s = anyio.current_time() - arrived_s
-            header = self._header(
-                key, entry, False, int(elapsed_s * 1e6), candidates
+            forward = self.routes.forward(
+                route,
+                caller,
+                opening=entry.home,
+                elapsed_us=int((now - arrived_s) * 1e6),
+                candidates=candidates,
             )
-            self._note_request(entry, datagram)
-            self._send(owner.data, header, datagram)
-
-    def answered(self, answer: frames.Answer, datagram: bytes) -> None:
-        """Pass an agent's answer on to the caller and learn the owner."""
-        name = self._store.view.service_at(answer.service_address)
-        if name is not None and name != answer.service:
-            self.drop("wrong_service")
-            return
-        key = flow_key.encode(answer.caller, answer.service_address)
-        entry = self._learn(key, answer)
-        if len(datagram) > 1 and datagram[1] >= FIRST_RESPONSE_CODE:
-            entry.asked = 0
-        self._answers += 1
-        self._ingress.send(
-            datagram, answer.caller, answer.service_address, entry.via
-        )
-        self._metrics.count(ANSWERED)
+            arrival = Arrival(key, service_address, datagram, via, service)
+            self._note(arrival, entry)
+            self._send(route.owner, forward, datagram)
 
-    def _learn(self, key: bytes, answer: frames.Answer) -> flow_cache.Entry:
-        before = self.cache.get(key)
-        if (
-            before is not None
-            and not before.home
-            and before.owner == answer.owner
-            and before.incarnation == answer.incarnation
-            and (before.pin == answer.pin or not before.is_coap)
-        ):
-            return before
-        self.agents.learn(answer.owner, answer.incarnation)
-        self.take_view()
-        service = self._view.service(answer.service)
-        is_coap = service is None or service.protocol == "coap"
-        entry = flow_cache.Entry(
-            service=answer.service,
-            owner=answer.owner,
-            incarnation=answer.incarnation,
-            pin=answer.pin if is_coap else b"",
-            is_coap=is_coap,
-            via=None if before is None else before.via,
-            asked=0 if before is None else before.asked,
-            epoch=self.agents.epoch,
-        )
-        if is_coap and not answer.pin:
-            # The agent turned the request away and does not hold the flow.
-            if before is not None and before.owner == answer.owner:
-                del self.cache[key]
-            return entry
-        # Its headers are made with the flow's next datagram, after checks.
-        self.cache.store(key, entry)
-        return entry
+    def _send(
+        self, owner: address.Address, forward: frames.Forward, datagram: bytes
+    ) -> None:
+        self.sequence += 1
+        frame = frames.encode(forward, self._keys[0], self.sequence, datagram)
+        self.send_burst([(frame, owner)])
--- a/src/bramleypin/internal/balancer/openings.py
+++ b/src/bramleypin/internal/balancer/openings.py
@@ -8,6 +8,7 @@
 from bramleypin.internal import address
 from bramleypin.internal.balancer import flow_key
 from bramleypin.internal.balancer import inspection
+from bramleypin.internal.balancer import refusals
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import metrics as metrics_module
 from bramleypin.internal import placement
@@ -23,7 +24,6 @@
 CANDIDATE_BITS = 6
 NO_OPENING = 0
 MAX_CANDIDATES = 1 << CANDIDATE_BITS
-RETRY_AFTER_S = 2
 
 OPENED = metrics_module.declare(
     "balancer.opened", "counter", "flows", "sent to a home to be opened"
@@ -294,9 +294,13 @@
         self._metrics.timing(
             OPENING_TIME, anyio.current_time() - opening.started_s
         )
+        service = self._store.view.service(opening.service)
+        if service is None:
+            self._forwarder.drop("no_candidates", len(opening.waiting))
+            return
         self._forwarder.opened(
             opening.key,
-            opening.service,
+            service,
             owner,
             candidates,
             opening.waiting,
@@ -323,8 +327,5 @@
                 opening.key,
                 datagram,
                 opening.via,
-                coap.SERVICE_UNAVAILABLE if once else coap.GATEWAY_TIMEOUT,
-                coap.Outcome.NOT_RUN if once else coap.Outcome.UNKNOWN,
-                "no endpoint is available; try again later",
-                RETRY_AFTER_S,
+                refusals.NOT_RUN if once else refusals.NO_ENDPOINT,
             )
--- a/src/bramleypin/internal/balancer/receiver.py
+++ b/src/bramleypin/internal/balancer/receiver.py
@@ -62,10 +62,10 @@
         self, frame: frames.Frame, payload: bytes, sender: address.Address
     ) -> None:
         if isinstance(frame, frames.Answer):
-            self._forwarder.answered(frame, payload)
+            self._forwarder.answers.pass_on(frame, payload)
             self._compare(frame.revision, frame.owner, frame.service)
         elif isinstance(frame, frames.ProbeAnswer):
-            self._forwarder.agents.learn(sender, frame.incarnation)
+            self._forwarder.routes.heard(sender, frame.incarnation)
             self._openings.probe_answered(frame)
             self._compare(frame.revision, sender, None)
         elif isinstance(frame, frames.Notice):
@@ -90,11 +90,10 @@
                 return
 
     def _noticed(self, notice: frames.Notice, sender: address.Address) -> None:
-        agents = self._forwarder.agents
-        agents.learn(sender, notice.incarnation)
+        self._forwarder.routes.heard(sender, notice.incarnation)
         if notice.revision > self._store.view.revision:
             self._sync.report_newer(notice.revision, notice.control)
         if notice.reason is frames.Reason.STALE_INCARNATION:
-            agents.doubt(sender)
+            self._forwarder.routes.doubt(sender)
         elif notice.reason is not frames.Reason.NEWER_REVISION:
-            agents.refused(sender)
+            self._forwarder.agents.refused(sender)
--- /dev/null
+++ b/src/bramleypin/internal/balancer/refusals.py
@@ -0,0 +1,57 @@
+"""The answers that a balancer gives itself, with their outcomes."""
+
+import dataclasses
+
+from bramleypin.internal.wire import coap
+
+RETRY_AFTER_S = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer of the balancer's own."""
+
+    code: int
+    outcome: coap.Outcome
+    reason: str
+    max_age_s: int | None = None
+
+    def answer(self, datagram: bytes) -> bytes:
+        """Return the answer to a request.
+
+        :raises errors.InvalidFrame: when it is no CoAP message.
+        """
+        return coap.encode(
+            coap.typed_answer(
+                coap.decode(datagram),
+                self.code,
+                self.outcome,
+                self.reason,
+                max_age_s=self.max_age_s,
+            )
+        )
+
+
+DOMAIN_OUT = Refusal(
+    coap.GATEWAY_TIMEOUT,
+    coap.Outcome.UNKNOWN,
+    "failure domain out; the request may have run",
+)
+INCOMPLETE = Refusal(
+    coap.REQUEST_ENTITY_INCOMPLETE,
+    coap.Outcome.INVALID,
+    "failure domain out; start again from the first block",
+)
+NOT_RUN = Refusal(
+    coap.SERVICE_UNAVAILABLE,
+    coap.Outcome.NOT_RUN,
+    "no endpoint is available; try again later",
+    RETRY_AFTER_S,
+)
+# An earlier copy of an idempotent request may have run.
+NO_ENDPOINT = Refusal(
+    coap.GATEWAY_TIMEOUT,
+    coap.Outcome.UNKNOWN,
+    "no endpoint is available; try again later",
+    RETRY_AFTER_S,
+)
--- /dev/null
+++ b/src/bramleypin/internal/balancer/routes.py
@@ -0,0 +1,193 @@
+"""The way to each agent: checked against the view, with a head to send.
+
+All flows of one service address at one agent share a route. A changed view
+thus costs one check a route, not one a flow.
+"""
+
+import collections
+import dataclasses
+
+from bramleypin.internal import address
+from bramleypin.internal.balancer import agents as agents_module
+from bramleypin.internal.balancer import flow_key
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.model import view as view_module
+from bramleypin.internal.wire import frames
+from bramleypin.internal.wire import pin as pin_module
+
+ROUTES_KEPT = 65_536
+NEVER = -1
+
+# A CoAP message has its code in its second byte.
+_CODE_AT = flow_key.KEY_BYTES + 1
+# For other protocols, the header byte 0x21, which is no request's code.
+_NO_CODE_AT = 12
+
+
+@dataclasses.dataclass(slots=True)
+class Route:
+    """The way to one agent for the flows of one service address.
+
+    ``head`` (for pinned CoAP datagrams and all others) and ``unpinned_head``
+    may be sent while ``epoch`` is the agents' current one. ``dead`` routes
+    are never used again. ``code_at`` is where a proxied datagram has its
+    CoAP code.
+    """
+
+    epoch: int
+    head: bytes
+    owner: address.Address
+    code_at: int
+    unpinned_head: bytes
+    service: str
+    service_address: address.Address
+    incarnation: int
+    is_coap: bool
+    dead: bool = False
+
+
+class Routes:
+    """Routes by service address and agent, for the view in force."""
+
+    def __init__(
+        self, kernel: kernel_module.Kernel, agents: agents_module.Agents
+    ):
+        self._store = kernel.get("view")
+        self._return_address = kernel.get("port").address
+        self._nonce = kernel.environment.random.getrandbits(63)
+        self.agents = agents
+        self.view: view_module.View = self._store.view
+        self._out_codes: frozenset[int] = frozenset()
+        self._route_by_key: collections.OrderedDict[
+            tuple[address.Address, address.Address], Route
+        ] = collections.OrderedDict()
+
+    def take_view(self) -> None:
+        """Have every route checked again if the view has changed."""
+        if self._store.view is self.view:
+            return
+        self.view = self._store.view
+        self._out_codes = frozenset(
+            pin_module.failure_domain_code(name)
+            for name in self.view.manifest.failure_domain_by_name
+            if self.view.is_out(name)
+        )
+        self.agents.epoch += 1
+
+    def heard(self, agent: address.Address, incarnation: int) -> None:
+        """Note that an agent has sent a frame under an incarnation."""
+        if self.agents.learn(agent, incarnation):
+            self.doubt(agent)
+
+    def doubt(self, agent: address.Address) -> None:
+        """Have the flows without a pin at an agent looked for anew."""
+        for key in [key for key in self._route_by_key if key[1] == agent]:
+            self._kill(self._route_by_key.pop(key))
+
+    def _kill(self, route: Route) -> None:
+        route.dead = True
+        route.epoch = NEVER
+
+    def get(
+        self,
+        service: view_module.ServiceView,
+        service_address: address.Address,
+        owner: address.Address,
+        incarnation: int,
+    ) -> Route:
+        """Return the route to an agent, which is made when missing.
+
+        It is not checked; see ``holds`` and ``is_out``, then ``refresh``.
+        """
+        key = (service_address, owner)
+        route = self._route_by_key.get(key)
+        if route is None or route.service != service.name:
+            is_coap = service.protocol == "coap"
+            route = Route(
+                epoch=NEVER,
+                head=b"",
+                owner=owner,
+                code_at=_CODE_AT if is_coap else _NO_CODE_AT,
+                unpinned_head=b"",
+                service=service.name,
+                service_address=service_address,
+                incarnation=incarnation,
+                is_coap=is_coap,
+            )
+            self._route_by_key[key] = route
+            if len(self._route_by_key) > ROUTES_KEPT:
+                self._kill(self._route_by_key.popitem(last=False)[1])
+        return route
+
+    def holds(self, route: Route) -> bool:
+        """Tell whether a flow without a pin may still be at a route's agent.
+
+        A route that passes may be used until the epoch changes.
+        """
+        if route.epoch == self.agents.epoch:
+            return not self.agents.is_lost(route.owner)
+        service = self.view.service(route.service)
+        if (
+            route.dead
+            or service is None
+            or self.view.service_at(route.service_address) != route.service
+            or self.agents.is_lost(route.owner)
+            or self.is_out(service, route.owner, None)
+        ):
+            return False
+        self.refresh(route)
+        return True
+
+    def is_out(
+        self,
+        service: view_module.ServiceView,
+        owner: address.Address,
+        code: int | None,
+    ) -> bool:
+        """Tell whether an agent is in a failure domain that is out.
+
+        The view is asked first; a pin's code (16 bits of a hash) decides only
+        for an agent that the view no longer has.
+        """
+        for version in (service, *self.view.earlier(service.name)):
+            for endpoint in version.endpoints:
+                if endpoint.data == owner:
+                    return self.view.is_out(endpoint.failure_domain)
+        return code in self._out_codes
+
+    def refresh(self, route: Route) -> None:
+        """Encode a checked route's heads for the current view."""
+        if route.epoch == self.agents.epoch:
+            return
+        known = self.agents.incarnation(route.owner)
+        route.incarnation = known or route.incarnation
+        # Only the part before the flow's own addresses is used.
+        nobody = address.Address("0.0.0.0", 0)
+        route.unpinned_head = frames.forward_head(self.forward(route, nobody))
+        pinned = self.forward(route, nobody, pinned=route.is_coap)
+        route.head = frames.forward_head(pinned)
+        route.epoch = self.agents.epoch
+
+    def forward(
+        self,
+        route: Route,
+        caller: address.Address,
+        pinned: bool = False,
+        opening: bool = False,
+        elapsed_us: int = 0,
+        candidates: tuple[frames.Candidate, ...] = (),
+    ) -> frames.Forward:
+        """Return the FORWARD for a datagram of a caller on a route."""
+        return frames.Forward(
+            nonce=self._nonce,
+            incarnation=route.incarnation,
+            revision=self.view.revision,
+            service=route.service,
+            service_address=route.service_address,
+            caller=caller,
+            return_address=self._return_address,
+            pinned=pinned,
+            open=opening,
+            elapsed_us=elapsed_us,
+            candidates=candidates,
+        )
--- a/src/bramleypin/internal/wire/frames.py
+++ b/src/bramleypin/internal/wire/frames.py
@@ -16,6 +16,7 @@
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal.wire import mac
+from bramleypin.internal.wire import proxy_header
 
 MAX_FRAME_BYTES = 65_507
 
@@ -61,6 +62,9 @@
 class Forward:
     """A caller's datagram on its way to the owner of its flow.
 
+    In the encoded header, ``service_address`` and ``caller`` come last, as
+    the address block of a PROXY v2 header. A balancer thus sends a constant
+    head for all flows of an agent, followed by what came from the fabric.
     ``elapsed_us`` is the time in microseconds that the datagram has spent in
     processes before. ``candidates`` is used when ``open`` is set.
     """
@@ -141,7 +145,13 @@
     item: tuple(field.name for field in dataclasses.fields(item))
     for item in _CLASS_BY_KIND.values()
 }
+_FLOW_FIELDS = ("service_address", "caller")
+# FORWARD ends with these two in one block.
+_NAMES_BY_CLASS[Forward] = tuple(
+    name for name in _NAMES_BY_CLASS[Forward] if name not in _FLOW_FIELDS
+)
 _ADDRESS = struct.Struct("!4sH")
+_FLOW_BLOCK = struct.Struct("!4s4sHH")
 
 
 def _pack_address(item: address.Address) -> bytes:
@@ -181,18 +191,27 @@
 
 
 def encode_header(frame: Frame) -> bytes:
-    """Encode a frame's header; constant for the datagrams of one flow."""
+    """Encode a frame's header."""
     values: list[typing.Any] = [frame.KIND]
     for name in _NAMES_BY_CLASS[type(frame)]:
         value = getattr(frame, name)
         codec = _CODEC_BY_FIELD.get(name)
         values.append(value if codec is None else codec[0](value))
+    if type(frame) is Forward:
+        values.append(_flow_block(frame))
     return cbor2.dumps(values)
 
 
-def head(header: bytes) -> bytes:
-    """Return what stands between a frame's sequence and its payload."""
-    return _LENGTH.pack(len(header)) + header
+def _flow_block(frame: Forward) -> bytes:
+    header = proxy_header.encode(frame.caller, frame.service_address)
+    return header[-proxy_header.ADDRESS_BYTES :]
+
+
+def forward_head(frame: Forward) -> bytes:
+    """Return what stands between a FORWARD's sequence and its flow block."""
+    header = encode_header(frame)
+    head = _LENGTH.pack(len(header)) + header
+    return head[: -proxy_header.ADDRESS_BYTES]
 
 
 def seal(key: bytes, sequence: int, header: bytes, payload: bytes) -> bytes:
@@ -225,18 +244,31 @@
     return frame, sequence, data[end:]
 
 
+def _split_flow_block(
+    block: bytes,
+) -> tuple[address.Address, address.Address]:
+    caller, service, caller_port, service_port = _FLOW_BLOCK.unpack(block)
+    return (
+        address.Address(socket.inet_ntoa(service), service_port),
+        address.Address(socket.inet_ntoa(caller), caller_port),
+    )
+
+
 def _decode_header(header: bytes) -> Frame:
     try:
         values = cbor2.loads(header)
         kind = _CLASS_BY_KIND[values[0]]
         names = _NAMES_BY_CLASS[kind]
+        flow = _split_flow_block(values.pop()) if kind is Forward else ()
         if len(values) != len(names) + 1:
             raise errors.InvalidFrame("frame_fields")
         for place, name in enumerate(names, 1):
             codec = _CODEC_BY_FIELD.get(name)
             if codec is not None:
                 values[place] = codec[1](values[place])
-        return kind(*values[1:])
+        fields = dict(zip(names, values[1:], strict=True))
+        fields.update(zip(_FLOW_FIELDS, flow, strict=False))
+        return kind(**fields)
     except errors.InvalidFrame:
         raise
     except Exception as error:
