--- /dev/null
+++ b/tests/cover/test_placement.py
@@ -0,0 +1,155 @@
+"""Weighted rendezvous hashing and the choice of candidates."""
+
+import unittest
+
+import parameterized
+
+from bramleypin.internal import address
+from bramleypin.internal.model import configuration
+from bramleypin.internal.model import view as view_module
+from bramleypin.internal import placement
+from bramleypin.standins import balancer_rig
+
+DOMAINS = ("austin", "waco", "san-marcos")
+KEYS = [b"flow %d" % number for number in range(20_000)]
+
+
+def service(weights, leaving=(), domains=DOMAINS):
+    """Return a service's document with an endpoint for each weight."""
+    return configuration.Service(
+        name="scheduler",
+        addresses=("10.9.0.1:5683",),
+        endpoints=tuple(
+            configuration.Endpoint(
+                id=f"host-{number}",
+                failure_domain=domains[number % len(domains)],
+                data=f"10.1.0.{number}:7000",
+                control=f"10.1.0.{number}:7001",
+                slots=5,
+                weight=weight,
+                state="leaving" if number in leaving else "in_service",
+            )
+            for number, weight in enumerate(weights)
+        ),
+    )
+
+
+def view(*versions, out=()):
+    """Return a view that has accepted versions of the service in order."""
+    current = view_module.empty()
+    for revision, document in enumerate(versions, 1):
+        made = balancer_rig.documents(revision, [document], DOMAINS, out)
+        current = view_module.advance(current, *made)
+    return current
+
+
+def first(document, key):
+    """Return the id of the endpoint that is first for a flow."""
+    endpoints = view(document).service("scheduler").endpoints
+    return placement.weighted_rendezvous("scheduler", endpoints, key)[0].id
+
+
+def choices(current, key, count=3, leaving=()):
+    """Return the candidates for a flow."""
+    return placement.choices(
+        current, "scheduler", key, count, lambda at: at in leaving
+    )
+
+
+class TestOrder(unittest.TestCase):
+    def test_first_places_are_shared_in_proportion_to_weights(self):
+        """Guards against weights that do not shift the load."""
+        weights = (1.0, 2.0, 4.0, 1.0)
+        endpoints = view(service(weights)).service("scheduler").endpoints
+        counts = dict.fromkeys((item.id for item in endpoints), 0)
+        for key in KEYS:
+            order = placement.weighted_rendezvous("scheduler", endpoints, key)
+            counts[order[0].id] += 1
+        for endpoint in endpoints:
+            expected = endpoint.weight / sum(weights)
+            share = counts[endpoint.id] / len(KEYS)
+            # Four standard deviations of a share of 20,000 draws.
+            margin = 4 * (expected * (1 - expected) / len(KEYS)) ** 0.5
+            self.assertAlmostEqual(expected, share, delta=margin)
+
+    @parameterized.parameterized.expand(
+        [
+            ("a_weight_grows", (1, 1, 1, 1), (1, 1, 2, 1), "host-2"),
+            ("an_endpoint_joins", (1, 1, 1), (1, 1, 1, 1), "host-3"),
+        ]
+    )
+    def test_only_flows_that_the_gainer_gets_move(
+        self, _, before, after, gainer
+    ):
+        """Guards against a change that moves unrelated flows."""
+        old, new = service(before), service(after)
+        old_endpoints = view(old).service("scheduler").endpoints
+        new_endpoints = view(new).service("scheduler").endpoints
+        order = placement.weighted_rendezvous
+        moved = 0
+        for key in KEYS[:5_000]:
+            was = order("scheduler", old_endpoints, key)[0].id
+            now = order("scheduler", new_endpoints, key)[0].id
+            if was != now:
+                self.assertEqual(gainer, now)
+                moved += 1
+        self.assertGreater(moved, 0)
+
+
+class TestChoices(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("by_configuration", {1, 4}, ()),
+            ("by_the_vm_list", (), {1, 4}),
+        ]
+    )
+    def test_a_leaving_endpoint_is_asked_but_not_eligible(
+        self, _, configured, listed
+    ):
+        """Guards against new work for leavers, and against lost flows."""
+        current = view(service((1,) * 6, leaving=configured))
+        addresses = {address.Address(f"10.1.0.{n}", 7000) for n in listed}
+        for key in KEYS[:200]:
+            found = choices(current, key, 6, addresses)
+            self.assertEqual(6, len(found))
+            leavers = {item.endpoint.id for item in found if not item.eligible}
+            self.assertEqual({"host-1", "host-4"}, leavers)
+            eligible = [item.eligible for item in found]
+            self.assertEqual(sorted(eligible, reverse=True), eligible)
+
+    def test_nothing_in_a_domain_that_is_out_is_a_candidate(self):
+        """Guards against packets into a failure domain that is out."""
+        versions = [service((1, weight) * 3) for weight in (1, 2, 3)]
+        current = view(*versions, out={"waco"})
+        for key in KEYS[:200]:
+            domains = {
+                item.endpoint.failure_domain for item in choices(current, key)
+            }
+            self.assertEqual({"austin", "san-marcos"}, domains)
+
+    @parameterized.parameterized.expand([(n,) for n in range(1, 5)])
+    def test_a_choice_of_an_earlier_version_is_still_a_candidate(self, ago):
+        """Guards against flows that a weight change makes unfindable."""
+        before = service((1,) * 12)
+        later = [service((1,) * 6 + (9.0 + step,) * 6) for step in range(ago)]
+        old, new = view(before), view(before, *later)
+        for key in KEYS[:200]:
+            was = {item.endpoint.id for item in choices(old, key)}
+            now = {item.endpoint.id for item in choices(new, key)}
+            self.assertLessEqual(was, now)
+
+    def test_flows_opened_during_an_outage_are_found_after_it(self):
+        """Guards against a returning domain that hides other owners."""
+        document = service((1,) * 12)
+        during = view(document, out={"waco"})
+        after = view(document)
+        for key in KEYS[:200]:
+            eligible = choices(during, key)[:3]
+            was = {item.endpoint.id for item in eligible}
+            now = {item.endpoint.id for item in choices(after, key)}
+            self.assertLessEqual(was, now)
+
+    def test_many_endpoints_in_one_domain_do_not_all_become_candidates(self):
+        """Guards against a probe storm on large services."""
+        current = view(service((1,) * 100, domains=("austin",)))
+        self.assertEqual(3, len(choices(current, b"flow")))
