--- a/src/bramleypin/standins/fleet.py
+++ b/src/bramleypin/standins/fleet.py
@@ -260,6 +260,9 @@
             fleet.start_all()
             await anyio.sleep(settle_s)
             result = await scenario(fleet)
+            # The tasks of a paused process could not be cancelled.
+            for member in fleet.live():
+                member.process.wake()
             tasks.cancel_scope.cancel()
         fleet.check_processes()
         return result
--- a/tests/failures/test_dissemination.py
+++ b/tests/failures/test_dissemination.py
@@ -196,6 +196,21 @@
 
         fleet_module.run(scenario, 8)
 
+    def test_a_revision_published_twice_is_kept_and_reported(self):
+        """Guards against an operator's mistake that goes unnoticed."""
+
+        async def scenario(fleet):
+            services = list(fleet.services.values())[1:]
+            fleet.publisher.publish(fleet.revision, services, fleet.domains)
+            await anyio.sleep(5.0)
+            for member in fleet.live():
+                view = member.get("view").view
+                self.assertEqual(4, len(view.service_by_address))
+                if member.get("members").place.is_reader:
+                    self.assertEqual(1, member.get("sync").conflicts)
+
+        fleet_module.run(scenario, 12)
+
     def test_one_revision_with_two_contents_is_kept_and_reported(self):
         """Guards against processes that swap contents under one number."""
 
