Test the agent's rules for requests

Change: a table of scenarios under the virtual clock; a separate response is sent by a task of its own as soon as the outcome is final.

--- a/src/bramleypin/internal/agent/flows.py
+++ b/src/bramleypin/internal/agent/flows.py
@@ -89,7 +89,11 @@
         self.records = requests.RecordTable(limit)
         self.replies = replies_module.Replies(kernel)
         runner = runner_module.Runner(
-            kernel, self.replies, self.records, self.release
+            kernel,
+            self.replies,
+            self.records,
+            self.release,
+            self._start_soon,
         )
         self.rules = rules_module.Rules(
             kernel, self.replies, self.records, runner, self._start_soon
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -59,8 +59,10 @@
         replies: replies_module.Replies,
         records: requests.RecordTable,
         release: typing.Callable[[flow_module.Flow], None],
+        start: typing.Callable[..., None],
     ):
         self._release = release
+        self._start = start
         self._admission: admission_module.Admission = kernel.get("admission")
         self._endpoint = kernel.get("endpoint")
         self._outcomes = kernel.get("outcomes")
@@ -86,8 +88,6 @@
             elif record.answer is None:
                 reason = _REASON_BY_VERDICT[verdict]
                 self._turn_away(flow, record, not_run(reason))
-            if record.announced and record.newest.confirmable:
-                await self._replies.send_separately(flow, record)
         finally:
             flow.active -= 1
             flow.used_s = anyio.current_time()
@@ -253,9 +253,20 @@
         self._trace.record(f"{flow.flow_id:012x}", name, record.method)
         if record.renew_pin and outcome is not coap.Outcome.NOT_RUN:
             coap.set_option(answer, coap.ECHO, self._replies.pin_of(flow))
-        if not (record.announced and record.newest.confirmable):
+        if record.announced and record.newest.confirmable:
+            self._start(self._send_separately, flow, record)
+        else:
             self.repeat(flow, record)
 
+    async def _send_separately(
+        self, flow: flow_module.Flow, record: requests.Record
+    ) -> None:
+        flow.active += 1
+        try:
+            await self._replies.send_separately(flow, record)
+        finally:
+            flow.active -= 1
+
     def repeat(self, flow: flow_module.Flow, record: requests.Record) -> None:
         """Send the stored answer to where the newest copy came from."""
         pin = b"" if record.lets_go else self._replies.pin_of(flow)
--- a/src/bramleypin/standins/agent_rig.py
+++ b/src/bramleypin/standins/agent_rig.py
@@ -52,7 +52,8 @@
 ) -> configuration.Endpoint:
     """Return the configuration of the endpoint on host ``number``."""
     host = f"10.0.0.{number}"
-    values = {"slots": 5, "cold_slots": 5, "ramp_s": 0.0, **fields}
+    slots = fields.get("slots", 5)
+    values = {"slots": slots, "cold_slots": slots, "ramp_s": 0.0, **fields}
     return configuration.Endpoint(
         id=f"host-{number}",
         failure_domain=failure_domain,
@@ -129,7 +130,10 @@
         virtual_process.spawn(
             tasks, self.process, lambda: self._run_agent(ready)
         )
-        await ready.wait()
+        while not ready.is_set():
+            await anyio.sleep(0.001)
+            if self.process.failure is not None:
+                raise self.process.failure
 
     def kill_agent(self) -> None:
         """End the agent at once."""
--- /dev/null
+++ b/tests/cover/test_agent_requests.py
@@ -0,0 +1,470 @@
+"""The agent's rules for requests: what runs, how often, for whom."""
+
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin.internal import address
+from bramleypin.internal.wire import coap
+from bramleypin import settings as settings_module
+from bramleypin.standins import agent_rig
+from tests import agent_play
+
+NOT_RUN = coap.Outcome.NOT_RUN
+UNKNOWN = coap.Outcome.UNKNOWN
+INVALID = coap.Outcome.INVALID
+OTHER_CALLER = address.Address("10.8.0.9", 41_000)
+
+
+async def run_once(stage, key=b"book"):
+    """Run a booking under a pin; return what its copies are sent with."""
+    pin = await stage.pin()
+    token = stage.token()
+    options = {"payload": key, "pin": pin}
+    stage.send("POST", token, **options)
+    answer = await stage.sender.answer(token, 5.0)
+    return token, options, answer
+
+
+class TestCopies(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("copies_while_it_waits_or_runs", 0.0, coap.CHANGED),
+            ("a_copy_after_the_answer", 1.0, coap.CHANGED),
+            ("a_copy_while_the_pin_is_nearly_stale", 298.0, coap.CHANGED),
+            ("a_copy_after_the_record_has_gone", 305.0, coap.UNAUTHORIZED),
+            ("a_copy_long_after", 4_000.0, coap.UNAUTHORIZED),
+        ]
+    )
+    def test_a_booking_runs_once_with(self, _, after_s, code):
+        """Guards against a second booking from a late copy."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            token = stage.token()
+            options = {"payload": b"book", "pin": pin}
+            for _ in range(3):
+                stage.send("POST", token, **options)
+            await stage.sender.answer(token, 5.0)
+            await anyio.sleep(after_s)
+            # A new request makes the table remove what has expired.
+            await stage.ask("POST", pin=await stage.pin(), payload=b"other")
+            stage.send("POST", token, **options)
+            answer = await stage.sender.answer(token, 5.0)
+            self.assertEqual(code, answer.code)
+            self.assertEqual(1, stage.runs(b"book"))
+
+        agent_play.play(scenario)
+
+    def test_the_stored_answer_goes_to_the_newest_copys_sender(self):
+        """Guards against an answer lost with the balancer that failed."""
+
+        async def scenario(stage):
+            token, options, first = await run_once(stage)
+            other = agent_rig.Sender(stage.rig.network, "other", "10.1.0.2")
+            await other.start(stage.tasks)
+            stage.send(
+                "POST",
+                token,
+                mid=9,
+                frame_return_address=other.address,
+                frame_caller=OTHER_CALLER,
+                **options,
+            )
+            again = await other.answer(token, 1.0)
+            self.assertEqual(first.payload, again.payload)
+            self.assertEqual(9, again.mid)
+            self.assertEqual(OTHER_CALLER, other.answer_frames[0].caller)
+            self.assertEqual(1, stage.runs(b"book"))
+
+        agent_play.play(scenario)
+
+    def test_a_token_with_other_content_is_invalid(self):
+        """Guards against answering one request with another's answer."""
+
+        async def scenario(stage):
+            token, options, _ = await run_once(stage)
+            stage.send("POST", token, **{**options, "payload": b"changed"})
+            answer = await stage.sender.answer(token, 1.0)
+            self.assertEqual(coap.BAD_OPTION, answer.code)
+            self.assertEqual(INVALID, coap.outcome(answer))
+            self.assertEqual(0, stage.runs(b"changed"))
+
+        agent_play.play(scenario)
+
+    def test_a_request_without_pin_is_never_run_when_it_must_run_once(self):
+        """Guards against copies that different agents would run."""
+
+        async def scenario(stage):
+            token = stage.token()
+            stage.send("POST", token, payload=b"book")
+            answer = await stage.sender.answer(token, 1.0)
+            self.assertEqual(coap.UNAUTHORIZED, answer.code)
+            self.assertEqual(NOT_RUN, coap.outcome(answer))
+            self.assertEqual(0, stage.runs(b"book"))
+
+        agent_play.play(scenario)
+
+    def test_a_replayed_frame_reaches_no_endpoint(self):
+        """Guards against an old datagram that is sent again."""
+
+        async def scenario(stage):
+            data = agent_rig.request("GET", b"tk", path="visits")
+            for _ in range(2):
+                stage.sender.forward(stage.rig, data, sequence=77)
+                await anyio.sleep(1.0)
+            self.assertEqual(1, stage.runs(b"visits"))
+            self.assertEqual(1, stage.count("agent.dropped.replayed"))
+
+        agent_play.play(scenario)
+
+    def test_a_full_table_sheds_and_closes_against_later_copies(self):
+        """Guards against running what the caller was told was not run."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            for number in range(4):
+                await stage.ask("POST", pin=pin, payload=b"%d" % number)
+            token = stage.token()
+            options = {"payload": b"book", "pin": pin}
+            stage.send("POST", token, **options)
+            shed = await stage.sender.answer(token, 1.0)
+            self.assertEqual(coap.SERVICE_UNAVAILABLE, shed.code)
+            self.assertEqual(NOT_RUN, coap.outcome(shed))
+            stage.rig.kernel.get("flows").records._limit = 100
+            stage.send("POST", token, **options)
+            again = await stage.sender.answer(token, 1.0)
+            self.assertEqual(NOT_RUN, coap.outcome(again))
+            self.assertEqual(0, stage.runs(b"book"))
+            await anyio.sleep(1.5)
+            pin = await stage.pin()
+            done = await stage.ask("POST", pin=pin, payload=b"book")
+            self.assertEqual(coap.CHANGED, done.code)
+
+        limits = settings_module.Limits(request_records=4)
+        agent_play.play(scenario, rig_limits=limits)
+
+
+class TestRestart(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("a_booking", "POST", UNKNOWN, 1),
+            ("a_list", "GET", None, 2),
+        ]
+    )
+    def test_after_a_restart_of_the_agent(self, _, method, outcome, runs):
+        """Guards against a booking run again, and a list not adopted."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            await stage.ask(method, pin=pin, payload=b"book")
+            stage.rig.kill_agent()
+            await stage.rig.start_agent(stage.tasks)
+            answer = await stage.ask(method, pin=pin, payload=b"book")
+            self.assertEqual(outcome, coap.outcome(answer))
+            fresh = coap.option(answer, coap.ECHO)
+            self.assertNotIn(fresh, (None, pin))
+            self.assertEqual(runs, stage.runs(b"book"))
+            done = await stage.ask("POST", pin=fresh, payload=b"next")
+            self.assertEqual(coap.CHANGED, done.code)
+
+        agent_play.play(scenario)
+
+    def test_a_frame_for_an_older_incarnation_is_not_used(self):
+        """Guards against replays across a restart."""
+
+        async def scenario(stage):
+            data = agent_rig.request("GET", b"tk", path="visits")
+            for incarnation in (0, 5):
+                stage.sender.forward(stage.rig, data, incarnation=incarnation)
+                await anyio.sleep(0.2)
+            self.assertEqual(0, stage.runs(b"visits"))
+            self.assertEqual(2, len(stage.sender.notices))
+
+        agent_play.play(scenario)
+
+    def test_a_later_block_without_its_flow_is_incomplete(self):
+        """Guards against a plan put together from two endpoints."""
+
+        async def scenario(stage):
+            message = coap.message(coap.CON, 1, 1, b"tk")
+            message.opt.uri_path = ("plan",)
+            message.opt.block2 = (3, False, 6)
+            stage.sender.forward(stage.rig, coap.encode(message))
+            answer = await stage.sender.answer(b"tk", 1.0)
+            self.assertEqual(coap.REQUEST_ENTITY_INCOMPLETE, answer.code)
+            self.assertEqual(INVALID, coap.outcome(answer))
+            self.assertEqual(0, stage.runs(b"plan"))
+
+        agent_play.play(scenario)
+
+
+class TestEndpointFailures(unittest.TestCase):
+    def test_a_booking_at_a_crashed_endpoint_is_unknown_and_not_repeated(self):
+        """Guards against a second run after a crash lost the answer."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            token = stage.token()
+            options = {"payload": b"book", "pin": pin, "deadline_ms": 9_000}
+            stage.send("POST", token, **options)
+            await anyio.sleep(0.5)
+            stage.rig.endpoint.crash()
+            answer = await stage.sender.answer(token, 20.0)
+            self.assertEqual(UNKNOWN, coap.outcome(answer))
+            for _ in range(3):
+                await anyio.sleep(5.0)
+                stage.send("POST", token, **options)
+            await anyio.sleep(5.0)
+            self.assertEqual(1, stage.runs(b"book"))
+
+        agent_play.play(scenario, service_time_s=3.0, restart_s=0.01)
+
+    def test_a_refused_booking_was_not_run(self):
+        """Guards against "unknown" where a repetition is safe."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            stage.rig.endpoint.crash()
+            answer = await stage.ask("POST", pin=pin, payload=b"book")
+            self.assertEqual(NOT_RUN, coap.outcome(answer))
+            stage.rig.endpoint.restart()
+            await anyio.sleep(3.0)
+            self.assertEqual(0, stage.runs(b"book"))
+
+        agent_play.play(scenario, restart_s=None)
+
+    def test_a_lost_booking_is_handed_over_once(self):
+        """Guards against a retransmission that a restarted endpoint runs."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            sent = []
+            stage.rig.network.on_send.append(
+                lambda packet: (
+                    sent.append(packet.data)
+                    if packet.destination.port == agent_rig.ENDPOINT_PORT
+                    and b"book" in packet.data
+                    else None
+                )
+            )
+            stage.rig.endpoint_process.pause()
+            answer = await stage.ask(
+                "POST", pin=pin, payload=b"book", deadline_ms=20_000
+            )
+            self.assertEqual(UNKNOWN, coap.outcome(answer))
+            stage.rig.endpoint_process.wake()
+            bodies = [data for data in sent if data.endswith(b"book")]
+            self.assertEqual(1, len(bodies))
+
+        agent_play.play(scenario)
+
+    def test_a_late_answer_reaches_nobody(self):
+        """Guards against an answer given to a caller who has gone on."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            token = stage.token()
+            stage.send(
+                "POST", token, payload=b"book", pin=pin, deadline_ms=2_000
+            )
+            answer = await stage.sender.answer(token, 2.5)
+            self.assertEqual(UNKNOWN, coap.outcome(answer))
+            stage.sender.answers.clear()
+            await anyio.sleep(10.0)
+            codes = {item.code for item in stage.sender.answers}
+            self.assertNotIn(coap.CHANGED, codes)
+            self.assertEqual(1, stage.count("agent.endpoint.late"))
+
+        agent_play.play(scenario, service_time_s=4.0)
+
+    def test_an_answer_after_a_second_is_announced_and_confirmed(self):
+        """Guards against a slow answer that is lost once."""
+
+        async def scenario(stage):
+            token = stage.token()
+            stage.send("GET", token, mid=5)
+            await anyio.sleep(1.1)
+            self.assertEqual(0, stage.sender.answers[-1].code)
+            answer = await stage.sender.answer(token, 5.0)
+            self.assertEqual(coap.CON, answer.mtype)
+            # Not confirmed, so it comes again until it is.
+            again = await stage.sender.answer(token, 4.0)
+            self.assertEqual(answer.mid, again.mid)
+            ack = coap.encode(coap.message(coap.ACK, 0, answer.mid))
+            stage.sender.forward(
+                stage.rig, ack, caller=OTHER_CALLER, sequence=500
+            )
+            await stage.sender.answer(token, 10.0)
+            stage.sender.forward(stage.rig, ack, sequence=501)
+            with self.assertRaises(TimeoutError):
+                await stage.sender.answer(token, 60.0)
+
+        agent_play.play(scenario, service_time_s=2.0)
+
+
+class TestCancelAndDeadline(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("before_the_request", -0.5, NOT_RUN, 0),
+            ("while_it_waits", 0.5, NOT_RUN, 0),
+            ("while_it_runs", 2.5, None, 1),
+            ("after_it_ran", 6.0, None, 1),
+        ]
+    )
+    def test_a_cancellation(self, _, after_s, outcome, runs):
+        """Guards against "not run" for a booking that runs after all."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            stage.send("POST", b"first", payload=b"first", pin=pin)
+            token = stage.token()
+            options = {"payload": b"book", "pin": pin}
+            if after_s < 0:
+                stage.send("POST", token, pin=pin, cancel=True)
+                await anyio.sleep(-after_s)
+                stage.send("POST", token, **options)
+            else:
+                stage.send("POST", token, **options)
+                await anyio.sleep(after_s)
+                stage.send("POST", token, pin=pin, cancel=True, mid=2)
+            answer = await stage.sender.answer(token, 10.0)
+            self.assertEqual(outcome, coap.outcome(answer))
+            for _ in range(3):
+                await anyio.sleep(3.0)
+                stage.send("POST", token, **options)
+            await anyio.sleep(5.0)
+            self.assertEqual(runs, stage.runs(b"book"))
+
+        agent_play.play(scenario, slots=1, service_time_s=2.0)
+
+    def test_the_endpoints_word_makes_a_cancelled_request_not_run(self):
+        """Guards against "not run" that only the agent believes."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            profile = stage.rig.endpoint.profile
+            profile.slots = 1
+            stage.send("POST", b"first", payload=b"first", pin=pin)
+            await anyio.sleep(0.1)
+            token = stage.token()
+            stage.send("POST", token, payload=b"book", pin=pin)
+            await anyio.sleep(0.1)
+            stage.send("POST", token, pin=pin, cancel=True, mid=2)
+            answer = await stage.sender.answer(token, 1.0)
+            self.assertEqual(NOT_RUN, coap.outcome(answer))
+            await anyio.sleep(9.0)
+            self.assertEqual(0, stage.runs(b"book"))
+
+        agent_play.play(scenario, slots=5, queue_limit=5, service_time_s=2.0)
+
+    @parameterized.parameterized.expand(
+        [
+            ("expired_on_arrival", 1_000, 1_500, 0, NOT_RUN, 0),
+            ("expires_in_the_queue", 1_500, 0, 1, NOT_RUN, 0),
+            ("reduced_by_time_on_the_way", 3_000, 2_500, 1, NOT_RUN, 0),
+            ("has_time_left", 9_000, 500, 1, None, 1),
+        ]
+    )
+    def test_a_deadline(self, _, deadline_ms, elapsed_ms, ahead, want, runs):
+        """Guards against work that nobody waits for any more."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            for number in range(ahead):
+                key = b"ahead%d" % number
+                stage.send("POST", key, payload=key, pin=pin)
+            token = stage.token()
+            options = {
+                "payload": b"book",
+                "pin": pin,
+                "deadline_ms": deadline_ms,
+                "frame_elapsed_us": elapsed_ms * 1_000,
+            }
+            stage.send("POST", token, **options)
+            answer = await stage.sender.answer(token, 10.0)
+            self.assertEqual(want, coap.outcome(answer))
+            await anyio.sleep(3.0)
+            stage.send("POST", token, **{**options, "frame_elapsed_us": 0})
+            await anyio.sleep(5.0)
+            self.assertEqual(runs, stage.runs(b"book"))
+
+        agent_play.play(scenario, slots=1, service_time_s=2.0)
+
+    def test_frames_that_waited_during_a_pause_are_dropped(self):
+        """Guards against work whose deadline passed in a buffer."""
+
+        async def scenario(stage):
+            pin = await stage.pin()
+            stage.rig.process.pause()
+            stage.send(
+                "POST", b"tk", payload=b"book", pin=pin, deadline_ms=3_000
+            )
+            await anyio.sleep(10.0)
+            stage.rig.process.wake()
+            await anyio.sleep(1.0)
+            self.assertEqual(0, stage.runs(b"book"))
+            self.assertEqual(1, stage.count("agent.dropped.paused"))
+            answer = await stage.ask("POST", pin=pin, payload=b"next")
+            self.assertEqual(coap.CHANGED, answer.code)
+
+        agent_play.play(scenario)
+
+
+class TestBorder(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("another_service", {"service": "planstore"}, "wrong_service"),
+            (
+                "another_services_address",
+                {"service_address": address.Address("10.9.0.2", 5683)},
+                "wrong_service",
+            ),
+        ]
+    )
+    def test_a_datagram_for(self, _, fields, reason):
+        """Guards against delivery to the wrong service."""
+
+        async def scenario(stage):
+            data = agent_rig.request("GET", b"tk", path="visits")
+            stage.sender.forward(stage.rig, data, **fields)
+            await anyio.sleep(1.0)
+            self.assertEqual(0, stage.runs(b"visits"))
+            self.assertEqual(1, stage.count(f"agent.dropped.{reason}"))
+
+        agent_play.play(scenario)
+
+    def test_an_agent_whose_failure_domain_is_out_refuses(self):
+        """Guards against work in a failure domain that was taken out."""
+
+        async def scenario(stage):
+            service = agent_rig.service_document((stage.rig.document,))
+            agent_rig.apply(stage.rig.kernel, 2, service, out=("austin",))
+            data = agent_rig.request("GET", b"tk", path="visits")
+            stage.sender.forward(stage.rig, data)
+            await anyio.sleep(1.0)
+            self.assertEqual(0, stage.runs(b"visits"))
+            self.assertEqual(1, stage.count("agent.dropped.domain_out"))
+            self.assertEqual(1, len(stage.sender.notices))
+
+        agent_play.play(scenario)
+
+    def test_random_input_ends_no_task(self):
+        """Guards against a malformed datagram that stops the agent."""
+
+        async def scenario(stage):
+            rng = stage.rig.network.random
+            good = agent_rig.request("GET", b"tk", path="visits")
+            for length in range(0, 200, 3):
+                stage.sender.raw(stage.rig, rng.randbytes(length))
+                stage.sender.forward(stage.rig, rng.randbytes(length))
+                cut = good[: length % len(good)]
+                stage.sender.forward(stage.rig, cut)
+            await anyio.sleep(1.0)
+            answer = await stage.ask("GET", path="visits")
+            self.assertEqual(coap.CONTENT, answer.code)
+            self.assertGreater(stage.count("agent.dropped.frame_mac"), 0)
+            self.assertGreater(stage.count("agent.dropped.coap_format"), 0)
+
+        agent_play.play(scenario)
