--- a/src/bramleypin/internal/balancer/receiver.py
+++ b/src/bramleypin/internal/balancer/receiver.py
@@ -65,6 +65,7 @@
             self._forwarder.answered(frame, payload)
             self._compare(frame.revision, frame.owner, frame.service)
         elif isinstance(frame, frames.ProbeAnswer):
+            self._forwarder.agents.learn(sender, frame.incarnation)
             self._openings.probe_answered(frame)
             self._compare(frame.revision, sender, None)
         elif isinstance(frame, frames.Notice):
@@ -93,8 +94,7 @@
         agents.learn(sender, notice.incarnation)
         if notice.revision > self._store.view.revision:
             self._sync.report_newer(notice.revision, notice.control)
-        if notice.reason in (
-            frames.Reason.FAILURE_DOMAIN_OUT,
-            frames.Reason.WRONG_SERVICE,
-        ):
-            agents.suspect(sender)
+        if notice.reason is frames.Reason.STALE_INCARNATION:
+            agents.doubt(sender)
+        elif notice.reason is not frames.Reason.NEWER_REVISION:
+            agents.refused(sender)
