--- a/src/bramleypin/matrix/pool.py
+++ b/src/bramleypin/matrix/pool.py
@@ -7,6 +7,7 @@
 import traceback
 
 from bramleypin.internal.observe import logs
+from bramleypin.matrix import broken  # noqa: F401
 from bramleypin.matrix import cell
 from bramleypin.matrix import variants
 from bramleypin import settings
--- a/src/bramleypin/matrix/variants.py
+++ b/src/bramleypin/matrix/variants.py
@@ -36,3 +36,16 @@
     before = getattr(owner, attribute)
     setattr(owner, attribute, value)
     return functools.partial(setattr, owner, attribute, before)
+
+
+def replace_all(
+    *changes: tuple[typing.Any, str, typing.Any],
+) -> typing.Callable[[], None]:
+    """Replace several attributes and return what restores them."""
+    undone = [replace(*change) for change in changes]
+
+    def restore() -> None:
+        for undo in reversed(undone):
+            undo()
+
+    return restore
