--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -259,13 +259,20 @@
         elif self.draining:
             self.drop("draining")
         else:
-            self._openings.add(
-                arrival.key,
-                arrival.datagram,
-                arrival.via,
-                arrival.service.name,
-                may_open,
-            )
+            self._open(arrival, may_open)
+
+    def _open(self, arrival: Arrival, may_open: bool) -> None:
+        if arrival.service.protocol == "coap":
+            # An opening costs far more than decoding the whole message, and
+            # what is no message should cause no probes.
+            coap.decode(arrival.datagram)
+        self._openings.add(
+            arrival.key,
+            arrival.datagram,
+            arrival.via,
+            arrival.service.name,
+            may_open,
+        )
 
     def _still_holds(self, entry: flow_cache.Entry) -> bool:
         """Tell whether a cached owner may still be used without a pin."""
--- a/src/bramleypin/internal/wire/frames.py
+++ b/src/bramleypin/internal/wire/frames.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import math
 import socket
 import struct
 import typing
@@ -172,21 +173,68 @@
 
 def _unpack_candidates(value: list) -> tuple[Candidate, ...]:
     return tuple(
-        Candidate(_unpack_address(data), State(state), load, number)
+        Candidate(
+            _unpack_address(data), State(state), _load(load), _number(number)
+        )
         for data, state, load, number in value
     )
 
 
+def _checked(kind: type) -> typing.Callable[[typing.Any], typing.Any]:
+    """Return a check for values that CBOR gives in the right type already."""
+
+    def check(value: typing.Any) -> typing.Any:
+        if type(value) is not kind:
+            raise errors.InvalidFrame("frame_header", f"no {kind.__name__}")
+        return value
+
+    return check
+
+
+def _number(value: typing.Any) -> int:
+    if type(value) is not int or not 0 <= value < 1 << 64:
+        raise errors.InvalidFrame("frame_header", "no number of 64 bits")
+    return value
+
+
+def _load(value: typing.Any) -> float:
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise errors.InvalidFrame("frame_header", "no load")
+    return float(value)
+
+
+_ADDRESS_FIELDS = (
+    "service_address",
+    "caller",
+    "return_address",
+    "owner",
+    "control",
+)
+_NUMBER_FIELDS = (
+    "nonce",
+    "incarnation",
+    "revision",
+    "elapsed_us",
+    "probe_id",
+)
 # Addresses take 6 bytes, which keeps the part of a frame short that is signed
 # with each datagram, and can hold nothing but an IPv4 address and a port.
-_CODEC_BY_FIELD: dict[str, tuple[typing.Callable, typing.Callable]] = {
-    **dict.fromkeys(
-        ("service_address", "caller", "return_address", "owner", "control"),
-        (_pack_address, _unpack_address),
-    ),
-    "candidates": (_pack_candidates, _unpack_candidates),
-    "state": (int, State),
-    "reason": (int, Reason),
+_ENCODER_BY_FIELD: dict[str, typing.Callable] = {
+    **dict.fromkeys(_ADDRESS_FIELDS, _pack_address),
+    "candidates": _pack_candidates,
+    "state": int,
+    "reason": int,
+}
+_DECODER_BY_FIELD: dict[str, typing.Callable] = {
+    **dict.fromkeys(_ADDRESS_FIELDS, _unpack_address),
+    **dict.fromkeys(_NUMBER_FIELDS, _number),
+    **dict.fromkeys(("pinned", "open", "holds"), _checked(bool)),
+    "service": _checked(str),
+    "pin": _checked(bytes),
+    "load": _load,
+    "candidates": _unpack_candidates,
+    "state": State,
+    "reason": Reason,
 }
 
 
@@ -195,8 +243,8 @@
     values: list[typing.Any] = [frame.KIND]
     for name in _NAMES_BY_CLASS[type(frame)]:
         value = getattr(frame, name)
-        codec = _CODEC_BY_FIELD.get(name)
-        values.append(value if codec is None else codec[0](value))
+        encoder = _ENCODER_BY_FIELD.get(name)
+        values.append(value if encoder is None else encoder(value))
     if type(frame) is Forward:
         values.append(_flow_block(frame))
     return cbor2.dumps(values)
@@ -263,9 +311,7 @@
         if len(values) != len(names) + 1:
             raise errors.InvalidFrame("frame_fields")
         for place, name in enumerate(names, 1):
-            codec = _CODEC_BY_FIELD.get(name)
-            if codec is not None:
-                values[place] = codec[1](values[place])
+            values[place] = _DECODER_BY_FIELD[name](values[place])
         fields = dict(zip(names, values[1:], strict=True))
         fields.update(zip(_FLOW_FIELDS, flow, strict=False))
         return kind(**fields)
--- /dev/null
+++ b/tests/fuzz/test_ingress.py
@@ -0,0 +1,162 @@
+"""Arbitrary input at the two ports of a balancer."""
+
+import unittest
+
+import anyio
+import cbor2
+import hypothesis
+from hypothesis import strategies
+
+from bramleypin.internal.wire import coap
+from bramleypin.internal.wire import frames
+from bramleypin.internal.wire import mac
+from bramleypin.internal.wire import proxy_header
+from bramleypin.standins import balancer_bed
+
+HEADER = proxy_header.encode(balancer_bed.CALLER, balancer_bed.SERVICE_ADDRESS)
+LARGEST = 65_507
+EXAMPLES = 80
+
+settings = hypothesis.settings(
+    max_examples=EXAMPLES, derandomize=True, deadline=None, database=None
+)
+
+# The first two bits 01 are CoAP's version, so half of what has the service's
+# header gets past the first check of the format.
+_datagrams = strategies.one_of(
+    strategies.binary(max_size=80),
+    strategies.binary(max_size=80).map(lambda tail: b"\x41\x01" + tail),
+    strategies.just(b"\x00" * LARGEST),
+)
+_ingress_input = strategies.lists(
+    strategies.one_of(
+        _datagrams,
+        _datagrams.map(lambda data: HEADER + data),
+        strategies.integers(0, len(HEADER)).map(lambda n: HEADER[:n]),
+        strategies.tuples(
+            strategies.integers(0, len(HEADER) - 1), strategies.binary()
+        ).map(lambda pair: HEADER[: pair[0]] + pair[1]),
+    ),
+    min_size=1,
+    max_size=20,
+)
+
+
+def _signed(body: bytes) -> bytes:
+    return mac.sign(balancer_bed.KEYS[0], body) + body
+
+
+def _frame(values: list) -> bytes:
+    header = cbor2.dumps(values)
+    return _signed(bytes(8) + len(header).to_bytes(2, "big") + header)
+
+
+_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.binary(max_size=12)
+    | strategies.text(max_size=8),
+    lambda inner: strategies.lists(inner, max_size=4),
+    max_leaves=6,
+)
+_EXAMPLES = [
+    cbor2.loads(frames.encode_header(frame))
+    for frame in (
+        frames.Answer(
+            1,
+            "scheduler",
+            balancer_bed.SERVICE_ADDRESS,
+            balancer_bed.CALLER,
+            balancer_bed.CALLER,
+            5,
+            b"pin",
+        ),
+        frames.ProbeAnswer(70, True, frames.State.READY, 0.5, 1, 5),
+        frames.Notice(
+            frames.Reason.STALE_INCARNATION, 9, balancer_bed.CALLER, 5
+        ),
+    )
+]
+
+
+WRONG_VALUES = [None, "text", -1, 2**70, 1.5, b"", [], [1], True]
+
+
+def _frames_with_a_wrong_field():
+    """Yield each frame with each field replaced by each wrong value."""
+    for values in _EXAMPLES:
+        for place in range(1, len(values)):
+            for value in WRONG_VALUES:
+                yield _frame([*values[:place], value, *values[place + 1 :]])
+
+
+_frame_input = strategies.lists(
+    strategies.one_of(
+        strategies.binary(max_size=100),
+        strategies.binary(max_size=60).map(_signed),
+        strategies.tuples(
+            strategies.integers(0, 6), strategies.lists(_values, max_size=11)
+        ).map(lambda pair: _frame([pair[0], *pair[1]])),
+    ),
+    min_size=1,
+    max_size=20,
+)
+
+
+class TestArbitraryInput(unittest.TestCase):
+    @settings
+    @hypothesis.given(_ingress_input)
+    def test_at_the_ingress_ends_no_task(self, inputs):
+        """Guards against a datagram of anyone that stops a balancer."""
+
+        async def scenario(bed):
+            await bed.start(balancers=1)
+            bed.publish(1)
+            answer = await bed.ask(0, bed.request())
+            self.assertIsNotNone(answer)
+            forwarder = bed.balancers[0].kernel.get("forwarder")
+            for data in inputs:
+                bed.send_raw(0, data)
+                await anyio.sleep(balancer_bed.SETTLE_S)
+                forwarder.cache.clear()
+            for agent in bed.agents:
+                for forward, payload in agent.received:
+                    self.assertEqual("scheduler", forward.service)
+                    coap.decode(payload)
+            self.assertIsNotNone(await bed.ask(0, bed.request()))
+
+        balancer_bed.run(scenario)
+
+    @settings
+    @hypothesis.given(_frame_input)
+    def test_at_the_data_port_ends_no_task(self, inputs):
+        """Guards against a frame, even a signed one, that does so."""
+
+        async def scenario(bed):
+            await bed.start(balancers=1)
+            bed.publish(1)
+            port = bed.balancers[0].kernel.get("port").address
+            for data in inputs:
+                bed.agents[0].port.send(data, port)
+            await anyio.sleep(balancer_bed.SETTLE_S)
+            self.assertIsNotNone(await bed.ask(0, bed.request()))
+
+        balancer_bed.run(scenario)
+
+    def test_of_a_wrong_type_in_a_signed_frame_ends_no_task(self):
+        """Guards against a peer of another version that stops a balancer."""
+
+        async def scenario(bed):
+            await bed.start(balancers=1)
+            bed.publish(1)
+            port = bed.balancers[0].kernel.get("port").address
+            for data in _frames_with_a_wrong_field():
+                bed.agents[0].port.send(data, port)
+            await anyio.sleep(balancer_bed.SETTLE_S)
+            # The wrong incarnations among them are corrected by a NOTICE.
+            await bed.ask(0, bed.request())
+            self.assertIsNotNone(await bed.ask(0, bed.request()))
+
+        balancer_bed.run(scenario)
