--- a/src/bramleypin/internal/tool/questionnaire.py
+++ b/src/bramleypin/internal/tool/questionnaire.py
@@ -30,7 +30,13 @@
 
 
 class Asker:
-    """Asks single questions in the terminal until the answer is valid."""
+    """Asks single questions in the terminal until the answer is valid.
+
+    ``known_domains`` are the failure domains that a host may be in.
+    """
+
+    def __init__(self) -> None:
+        self.known_domains: list[str] = []
 
     def ask_table(
         self, model: type[pydantic.BaseModel], before: Table
@@ -57,11 +63,16 @@
         while True:
             text = typer.prompt(f"  {name}", **hint)
             value = from_text(text, extra["example"])
-            fault = _fault(model, name, value)
+            fault = _fault(model, name, value) or self._unknown(name, value)
             if fault is None:
                 return value
             typer.echo(f"  {fault}")
 
+    def _unknown(self, name: str, value: typing.Any) -> str | None:
+        if name != "failure_domain" or value in self.known_domains:
+            return None
+        return f"write one of: {', '.join(self.known_domains)}"
+
     def confirm(self, text: str, default: bool) -> bool:
         """Ask a question whose answer is yes or no."""
         return typer.confirm(f"\n{text}", default=default)
@@ -106,12 +117,9 @@
     model: type[pydantic.BaseModel], name: str, value: typing.Any
 ) -> str | None:
     field = model.model_fields[name]
-    parts = [field.annotation, *field.metadata]
-    annotation = typing.Annotated[tuple(parts)]
+    annotation = typing.Annotated[field.annotation, field]
     try:
-        pydantic.TypeAdapter(
-            annotation, config=pydantic.ConfigDict(strict=True)
-        ).validate_python(value)
+        pydantic.TypeAdapter(annotation).validate_python(value, strict=True)
     except pydantic.ValidationError as error:
         return answers_file.advice(error.errors()[0], (name,))
     return None
@@ -127,6 +135,7 @@
     result["failure_domains"] = _ask_list(
         asker, "failure_domains", before.get("failure_domains", []), _plain
     )
+    asker.known_domains = [d["name"] for d in result["failure_domains"]]
     result["services"] = _ask_list(
         asker, "services", before.get("services", []), _with_hosts
     )
@@ -274,15 +283,27 @@
 def write(path: pathlib.Path, text: str) -> None:
     """Validate and write an answers file.
 
-    :raises errors.InvalidAnswers: when the answers are wrong as a whole;
-        nothing is written then.
+    Answers that are wrong as a whole go to a draft beside the file instead,
+    so that nobody has to type them again.
+
+    :raises errors.InvalidAnswers: when the answers are wrong.
     :raises errors.InvalidSettings: when the file cannot be written.
     """
-    answers_file.validate(tomlkit.parse(text).unwrap(), str(path))
+    try:
+        answers_file.validate(tomlkit.parse(text).unwrap(), str(path))
+    except errors.InvalidAnswers:
+        draft = path.with_name(f"{path.name}.draft")
+        _write_text(draft, text)
+        output.note(f"{draft}: answers kept; correct them and use --answers")
+        raise
+    _write_text(path, text)
+    output.line(f"{path}: answers written")
+
+
+def _write_text(path: pathlib.Path, text: str) -> None:
     try:
         path.write_text(text, encoding="utf-8")
     except OSError as error:
         raise errors.InvalidSettings(
             str(path), "(file)", error.strerror, "name a file to write to"
         ) from error
-    output.line(f"{path}: answers written")
