--- a/src/bramleypin/internal/tool/burn.py
+++ b/src/bramleypin/internal/tool/burn.py
@@ -23,6 +23,8 @@
 # The series of the plot is smoothed over this many minutes.
 SMOOTHED_MINUTES = 5
 
+RATE_DECIMALS = 9
+
 Answer = dict[str, typing.Any]
 
 
@@ -163,7 +165,9 @@
 def _burn(counts: _Counts, allowed: float | None) -> float | None:
     if not counts.total or not allowed:
         return None
-    return counts.bad / counts.total / allowed
+    # 1 - 0.999 is not exactly 0.001; without rounding, a rate at the limit
+    # of an alarm would count as below it.
+    return round(counts.bad / counts.total / allowed, RATE_DECIMALS)
 
 
 def _covered_ages(
--- a/src/bramleypin/internal/tool/configuration_commands.py
+++ b/src/bramleypin/internal/tool/configuration_commands.py
@@ -29,6 +29,15 @@
     pathlib.Path, typer.Argument(help="A folder with a generated revision.")
 ]
 
+CAPACITY_COLUMNS = (
+    "service",
+    "without",
+    "endpoints left",
+    "requests/s carried",
+    "requests/s offered",
+    "used",
+)
+
 
 @application.command()
 def generate(
@@ -122,33 +131,32 @@
 
 
 def _print_capacity(bundle: documents.Bundle) -> None:
-    rows = []
-    for name, demand in bundle.demand_by_service.items():
-        service = bundle.service_by_name[name]
-        for domain, left in capacity.without_each_domain(
-            service, demand
-        ).items():
-            rows.append(
-                (
-                    name,
-                    domain,
-                    left.endpoints,
-                    left.requests_per_s,
-                    demand.requests_per_s,
-                    f"{left.utilisation(demand):.0%}",
-                )
-            )
-    output.table(
+    rows = [
         (
-            "service",
-            "without",
-            "endpoints left",
-            "requests/s carried",
-            "requests/s offered",
-            "used",
-        ),
-        rows,
-    )
+            name,
+            without,
+            left.endpoints,
+            left.requests_per_s,
+            bundle.demand_by_service[name].requests_per_s,
+            f"{left.utilisation(bundle.demand_by_service[name]):.0%}",
+        )
+        for name in bundle.demand_by_service
+        for without, left in _capacities(bundle, name).items()
+    ]
+    output.table(CAPACITY_COLUMNS, rows)
+
+
+def _capacities(
+    bundle: documents.Bundle, name: str
+) -> dict[str, capacity.Capacity]:
+    """Return what is left without each domain, or without those out now."""
+    service = bundle.service_by_name[name]
+    demand = bundle.demand_by_service[name]
+    out = bundle.out_domains()
+    if not out:
+        return capacity.without_each_domain(service, demand)
+    serving = capacity.serving(service, set(out))
+    return {", ".join(out): capacity.of_endpoints(serving, demand)}
 
 
 @application.command()
--- a/src/bramleypin/internal/tool/fleet_commands.py
+++ b/src/bramleypin/internal/tool/fleet_commands.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from bramleypin import errors
 from bramleypin.internal.tool import fleet
 from bramleypin.internal.tool import fleet_options
 from bramleypin.internal.tool import output
@@ -44,15 +45,31 @@
 
     Example: bramleypin status --settings entry-1.toml --peer 127.10.1.1:7001
     """
-    while True:
-        answers = _status(settings, peer, vms)
-        if watch and not json:
-            output.clear()
-        _print_status(answers, json)
-        if not watch:
-            fleet_options.report_faults(answers)
-            return
+    while watch:
+        _watch_once(settings, peer, vms, json)
         time.sleep(WATCH_INTERVAL_S)
+    answers = _status(settings, peer, vms)
+    _print_status(answers, json)
+    fleet_options.report_faults(answers)
+
+
+def _watch_once(
+    settings: pathlib.Path,
+    peers: list[str] | None,
+    vms: pathlib.Path | None,
+    json: bool,
+) -> None:
+    try:
+        answers = _status(settings, peers, vms)
+    except (errors.FleetSilent, errors.PlatformUnavailable) as error:
+        # Somebody who watches wants to see the daemons come back.
+        output.note(str(error))
+        return
+    if not json:
+        output.clear()
+    _print_status(answers, json)
+    for peer, text in answers.fault_by_peer.items():
+        output.note(f"{peer}: {text}")
 
 
 def _status(
--- /dev/null
+++ b/tests/cover/test_tool_burn.py
@@ -0,0 +1,173 @@
+"""Burn rates, alarms and coverage, and how results are printed."""
+
+import contextlib
+import io
+import os
+import unittest
+import unittest.mock
+
+import anyio
+import parameterized
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.tool import burn
+from bramleypin.internal.tool import burn_page
+from bramleypin.internal.tool import fleet
+from bramleypin.internal.tool import output
+from bramleypin.internal.tool import promises
+from bramleypin.internal.tool import svg
+
+HOUR_S = 3_600.0
+
+
+def answer(bad_by_minute, covered_s=6 * HOUR_S, running=2.0, own_id="a"):
+    """Return what an agent answers: 1,000 requests in each minute."""
+    minutes = [
+        [60.0 * number + 30.0, [1_000 - bad, 0, bad, 7, 0]]
+        for number, bad in enumerate(bad_by_minute)
+    ]
+    busy = [[age_s, running, 0] for age_s, _ in minutes]
+    objective = [0.999, 2.0]
+    return {
+        "id": own_id,
+        "role": "agent",
+        "failure_domain": "waco",
+        "covered_s": covered_s,
+        "services": {"s": {"objective": objective, "minutes": minutes}},
+        "endpoint": {
+            "service": "s",
+            "id": own_id,
+            "slots": 4,
+            "weight": 4.0,
+            "minutes": busy,
+        },
+    }
+
+
+# Bad requests of 1,000 in each minute, newest first, and the level. With 0.1%
+# allowed, n bad requests are a burn rate of n.
+LEVELS = [
+    ("quiet", [0] * 360, "ok"),
+    ("at the budget", [1] * 360, "warn"),
+    ("page over 1 h", [15] * 60 + [0] * 300, "page"),
+    ("just below over 1 h", [14] * 60 + [0] * 300, "warn"),
+    ("over 1 h, but it has ended", [0] * 6 + [20] * 60 + [0] * 294, "warn"),
+    ("page over 6 h", [6] * 360, "page"),
+    ("over 6 h, but it has ended", [0] * 60 + [12] * 300, "ok"),
+    ("short peak", [60] * 5 + [0] * 355, "ok"),
+]
+
+
+class TestBurn(unittest.TestCase):
+    @parameterized.parameterized.expand(LEVELS)
+    def test_both_windows_must_burn(self, name, bad_by_minute, level):
+        """Guards against alarms that come late, or stay when it is over."""
+        (service,) = burn.services([answer(bad_by_minute)], 0)
+        self.assertEqual(level, service.level, service.window_by_name)
+
+    def test_mistakes_of_callers_burn_nothing(self):
+        """Guards against a page at night for a broken tablet."""
+        (service,) = burn.services([answer([0] * 360)], 0)
+        window = service.window_by_name["5 min"]
+        self.assertEqual((5_000, 0, 0.0), (window.total, window.bad, 0.0))
+
+    @parameterized.parameterized.expand(
+        [
+            ("young daemon", [6 * HOUR_S, 150.0], 0, 0.75),
+            ("silent daemon", [6 * HOUR_S, 6 * HOUR_S], 2, 0.5),
+            ("complete", [6 * HOUR_S, 6 * HOUR_S], 0, 1.0),
+        ]
+    )
+    def test_the_report_says_what_is_covered(self, name, ages, silent, share):
+        """Guards against trust in a window that is hardly covered."""
+        answers = [
+            answer([0] * 5, age_s, 2.0, f"a-{number}")
+            for number, age_s in enumerate(ages)
+        ]
+        (service,) = burn.services(answers, silent)
+        window = service.window_by_name["5 min"]
+        self.assertAlmostEqual(share, window.covered)
+
+    def test_a_service_without_requests_has_no_burn(self):
+        """Guards against a division by zero in a quiet night."""
+        (service,) = burn.services([answer([])], 0)
+        self.assertIsNone(service.window_by_name["1 h"].burn)
+        self.assertEqual("ok", service.level)
+
+    def test_imbalance_is_highest_over_mean(self):
+        """Guards against a figure that hides one overloaded endpoint."""
+        uses = burn.endpoints(
+            [
+                answer([0] * 5, running=running, own_id=f"a-{running}")
+                for running in (1.0, 1.0, 2.5)
+            ]
+        )
+        self.assertAlmostEqual(2.5 / 1.5, burn.imbalance(uses))
+        figure = promises.figures([], uses)[-1]
+        self.assertFalse(figure.good)
+
+    def test_the_page_escapes_and_stands_alone(self):
+        """Guards against a name that breaks the page, or a page that loads."""
+        odd = answer([20] * 360)
+        odd["services"] = {"<b>": odd["services"]["s"]}
+        odd["endpoint"]["service"] = "<b>"
+        report = burn_page.Report(
+            "Asked now", burn.services([odd], 0), [], [], 1, ["<i>"]
+        )
+        page = burn_page.render(report)
+        self.assertNotIn("<b>", page)
+        self.assertNotIn("<i>", page)
+        for word in ("src=", "href=", "url(", "<script"):
+            self.assertNotIn(word, page)
+
+    def test_a_gap_in_the_counts_is_a_gap_in_the_plot(self):
+        """Guards against a line drawn where nothing was counted."""
+        plot = svg.time_series([1.0, 1.0, None, 2.0, 2.0], "burn")
+        self.assertEqual(2, plot.count('class="curve"'))
+
+
+class TestAsking(unittest.TestCase):
+    def test_a_daemon_that_fails_does_not_hide_the_others(self):
+        """Guards against a status that one dead daemon makes impossible."""
+        good, bad = (address.Address("127.0.0.1", port) for port in (1, 2))
+
+        async def ask_one(peer, message):
+            if peer == bad:
+                raise errors.PeerUnreachable("nobody there")
+            return message
+
+        answers = anyio.run(fleet.ask_all, ask_one, [bad, good], "hello")
+        self.assertEqual({good: "hello"}, answers.answer_by_peer)
+        self.assertEqual({bad: "nobody there"}, answers.fault_by_peer)
+
+
+class Terminal(io.StringIO):
+    """A stream that says it is a terminal."""
+
+    def isatty(self):
+        return True
+
+
+class TestOutput(unittest.TestCase):
+    @parameterized.parameterized.expand([("1", False), ("", True)])
+    def test_no_color_is_respected(self, value, coloured):
+        """Guards against escape codes in logs of people who opt out."""
+        changed = {"NO_COLOR": value, "TERM": "xterm", "COLORTERM": ""}
+        with unittest.mock.patch.dict(os.environ, changed):
+            with contextlib.redirect_stderr(Terminal()) as stream:
+                output.error("wrong")
+        self.assertEqual(coloured, "\x1b[1;31m" in stream.getvalue())
+
+    def test_a_bar_appears_on_slow_work_alone(self):
+        """Guards against a tool that seems to hang, or that flickers."""
+        for step_s, shown in ((0.01, False), (1.1, True)):
+            clock = iter(step_s * number for number in range(1_000))
+            with (
+                unittest.mock.patch.object(
+                    output.time, "monotonic", lambda clock=clock: next(clock)
+                ),
+                contextlib.redirect_stderr(Terminal()) as stream,
+            ):
+                list(output.progress(range(4), 4, "comparing"))
+            self.assertEqual(shown, "comparing" in stream.getvalue())
--- a/tests/cover/test_tool_configuration.py
+++ b/tests/cover/test_tool_configuration.py
@@ -202,9 +202,11 @@
         forced = checks.require(bundle(content, before), before, True)
         self.assertIn("carries only 80", " ".join(forced))
         self.assertIn("leaving = true", " ".join(forced))
-        one_address_for_two(content)
-        with self.assertRaises(errors.PromiseBroken):
-            checks.require(bundle(content, before), before, True)
+        for change in (one_address_for_two, one_agent_for_two):
+            content = table()
+            change(content)
+            with self.assertRaises(errors.PromiseBroken):
+                checks.require(bundle(content), None, True)
 
     def test_an_endpoint_that_was_leaving_or_out_may_go(self):
         """Guards against hosts that can never be removed."""
