--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -59,8 +59,10 @@
         replies: replies_module.Replies,
         records: requests.RecordTable,
         release: typing.Callable[[flow_module.Flow], None],
+        start: typing.Callable[..., None],
     ):
         self._release = release
+        self._start = start
         self._admission: admission_module.Admission = kernel.get("admission")
         self._endpoint = kernel.get("endpoint")
         self._outcomes = kernel.get("outcomes")
@@ -86,8 +88,6 @@
             elif record.answer is None:
                 reason = _REASON_BY_VERDICT[verdict]
                 self._turn_away(flow, record, not_run(reason))
-            if record.announced and record.newest.confirmable:
-                await self._replies.send_separately(flow, record)
         finally:
             flow.active -= 1
             flow.used_s = anyio.current_time()
@@ -133,7 +133,7 @@
         )
         record.running = exchange
         if await exchange.wait(record.deadline_s):
-            self._conclude_exchange(flow, record, exchange)
+            self._conclude_exchange(flow, record, exchange, message)
         else:
             await self._outwait(flow, record, exchange)
 
@@ -182,10 +182,11 @@
         flow: flow_module.Flow,
         record: requests.Record,
         exchange: channel_module.Exchange,
+        message: coap.Message,
     ) -> None:
         end = exchange.end
         if end is channel_module.End.ANSWERED:
-            self._conclude_answered(flow, record, exchange)
+            self._conclude_answered(flow, record, exchange, message)
         elif end in (
             channel_module.End.REFUSED,
             channel_module.End.CANCELLED,
@@ -201,6 +202,7 @@
         flow: flow_module.Flow,
         record: requests.Record,
         exchange: channel_module.Exchange,
+        message: coap.Message,
     ) -> None:
         response = exchange.response
         if response.code == coap.SERVICE_UNAVAILABLE:
@@ -214,7 +216,8 @@
             self._turn_away(flow, record, answer)
         else:
             now = anyio.current_time()
-            self._admission.answered(now - exchange.started_s)
+            took_s = now - exchange.started_s
+            self._admission.answered(took_s, _kind_of(record, message))
             record.ticket.move(requests.TicketState.ANSWERED)
             flow.note_transfer(_has_more(response))
             self.conclude(flow, record, _for_caller(response))
@@ -253,9 +256,20 @@
         self._trace.record(f"{flow.flow_id:012x}", name, record.method)
         if record.renew_pin and outcome is not coap.Outcome.NOT_RUN:
             coap.set_option(answer, coap.ECHO, self._replies.pin_of(flow))
-        if not (record.announced and record.newest.confirmable):
+        if record.announced and record.newest.confirmable:
+            self._start(self._send_separately, flow, record)
+        else:
             self.repeat(flow, record)
 
+    async def _send_separately(
+        self, flow: flow_module.Flow, record: requests.Record
+    ) -> None:
+        flow.active += 1
+        try:
+            await self._replies.send_separately(flow, record)
+        finally:
+            flow.active -= 1
+
     def repeat(self, flow: flow_module.Flow, record: requests.Record) -> None:
         """Send the stored answer to where the newest copy came from."""
         pin = b"" if record.lets_go else self._replies.pin_of(flow)
@@ -284,6 +298,14 @@
     return copied
 
 
+def _kind_of(record: requests.Record, message: coap.Message) -> str:
+    """Return which requests should take about as long as this one."""
+    blocks = (message.opt.block1, message.opt.block2)
+    later = any(item is not None and item.block_number for item in blocks)
+    first = message.opt.uri_path[:1]
+    return "/".join((record.method, *first, "later" if later else "first"))
+
+
 def _has_more(response: coap.Message) -> bool:
     block2 = response.opt.block2
     if block2 is not None and block2.more:
--- a/src/bramleypin/internal/balancer/drops.py
+++ b/src/bramleypin/internal/balancer/drops.py
@@ -8,6 +8,7 @@
     "unknown_address": "no service has the destination address",
     "wrong_service": "an answer names a service that lacks its address",
     "oversized": "too large for a frame",
+    "not_sent": "the kernel did not take the frame, for example for its size",
     "coap_format": "no CoAP message, for a CoAP service",
     "not_a_request": "no agent holds the flow, and it is no request",
     "opening_queue": "too many datagrams wait for one flow's opening",
@@ -21,7 +22,6 @@
     "frame_header": "a frame's header cannot be decoded",
     "frame_fields": "a frame has a wrong number of fields",
     "frame_kind": "a balancer does not take this kind of frame",
-    "late_probe_answer": "the opening has ended already",
     "unexpected": "an input caused an error that has no other name",
 }
 
--- a/src/bramleypin/internal/balancer/flow_cache.py
+++ b/src/bramleypin/internal/balancer/flow_cache.py
@@ -1,4 +1,4 @@
-"""The flow cache: who owns a flow, with its FORWARD header ready to send.
+"""The flow cache: who owns a flow, and the pin that its caller carries.
 
 It is soft state. Losing it costs a probe for flows without a pin and nothing
 for flows with one.
@@ -8,39 +8,54 @@
 import dataclasses
 
 from bramleypin.internal import address
+from bramleypin.internal.balancer import flow_key
+from bramleypin.internal.balancer import routes
 
-# An epoch that never equals the current one, so that every datagram of the
-# entry is looked at in full.
-NEVER = -1
+# A place beyond the end of every datagram, where nothing is found.
+NOWHERE = 1 << 30
 
 
 @dataclasses.dataclass(slots=True)
 class Entry:
     """A flow's owner.
 
-    ``pin`` is ``None`` for datagram services, which are never parsed, and
-    empty while the flow of a CoAP service has none. ``fast_epoch`` is the
-    epoch for which ``header`` may be sent without further checks. ``via`` is
-    where the ingress got the flow's last datagram from. An entry with
-    ``home`` names the agent that decides where the flow opens; it expires at
-    ``expires_s``.
+    A proxied datagram that has ``pin`` at ``pin_at``, or elsewhere, goes to
+    the route without further checks. For datagram services the pin is empty
+    and found anywhere. For a CoAP flow without a pin, and for an entry with
+    ``home``, it is empty and found ``NOWHERE``.
+
+    ``via`` is where the ingress got the flow's last datagram from. ``asked``
+    is the time of the last request that is not answered yet, in ticks of the
+    forwarder, or 0. An entry with ``home`` names the agent that decides where
+    the flow opens; it expires at ``expires_s``.
     """
 
-    service: str
-    owner: address.Address
-    incarnation: int
-    pin: bytes | None
-    header: bytes = b""
-    unpinned_header: bytes = b""
-    epoch: int = NEVER
-    fast_epoch: int = NEVER
+    route: routes.Route
+    pin: bytes = b""
+    pin_at: int = NOWHERE
     via: address.Address | None = None
+    asked: int = 0
+    used: bool = False
     home: bool = False
     expires_s: float = 0.0
 
+    def finds_pin(self, data: bytes) -> bool:
+        """Tell whether a proxied datagram has the pin; remember where."""
+        if not self.pin:
+            return False
+        place = data.find(self.pin, flow_key.KEY_BYTES)
+        if place >= 0:
+            self.pin_at = place
+        return place >= 0
+
 
 class FlowCache(collections.OrderedDict[bytes, Entry]):
-    """Entries by flow key, of which the least recently used goes first."""
+    """Entries by flow key; one that was not used lately goes first.
+
+    Moving an entry to the end for each datagram would touch its neighbours'
+    memory too. Instead an entry that was used since it was added or last
+    spared is spared once (the "second chance" form of least recent use).
+    """
 
     def __init__(self, limit: int):
         super().__init__()
@@ -49,6 +64,10 @@
     def store(self, key: bytes, entry: Entry) -> None:
         """Add or replace a flow's entry."""
         self[key] = entry
-        self.move_to_end(key)
-        if len(self) > self.limit:
-            self.popitem(last=False)
+        while len(self) > self.limit:
+            oldest, candidate = next(iter(self.items()))
+            if candidate.used and oldest != key:
+                candidate.used = False
+                self.move_to_end(oldest)
+            else:
+                del self[oldest]
