--- a/tests/cover/test_tool_configuration.py
+++ b/tests/cover/test_tool_configuration.py
@@ -334,6 +334,9 @@
         before, after = text.splitlines(), revised.splitlines()
         gone = [line for line in before if line not in after]
         self.assertEqual(["requests_per_s = 60.0"], gone)
+        place = before.index("requests_per_s = 60.0")
+        self.assertEqual("requests_per_s = 61.0", after[place])
+        self.assertEqual(before[:place], after[:place])
 
     def test_typed_answers_are_asked_again_until_they_are_valid(self):
         """Guards against a wrong answer that shows only at the end."""
