Let new operators try daemons on loopback

Cause: the first steps on the page ended with files; nobody saw a daemon take them up. The report's verdict says when it rests on few counts.

--- a/src/bramleypin/internal/tool/burn_page.py
+++ b/src/bramleypin/internal/tool/burn_page.py
@@ -45,6 +45,9 @@
 .scroll{overflow-x:auto}
 """
 
+# Below this share of an hour, a quiet report says so.
+TRUSTED_COVER = 0.5
+
 _WORD_BY_LEVEL = {"ok": "within budget", "warn": "warning", "page": "act now"}
 
 
@@ -82,9 +85,14 @@
             if names:
                 verb = "is" if len(names) == 1 else "are"
                 return f"{' and '.join(names)} {verb} {words}."
-        if not self.services:
-            return "No daemon has counted any request yet."
-        return "All services are within their error budgets."
+        windows = [service.window_by_name["1 h"] for service in self.services]
+        if not any(window.total for window in windows):
+            return "No daemon has counted any request in the last hour."
+        text = "All services are within their error budgets."
+        covered = min(window.covered for window in windows)
+        if covered < TRUSTED_COVER:
+            text += f" The counts cover only {covered:.0%} of the last hour."
+        return text
 
 
 def render(report: Report) -> str:
--- a/src/bramleypin/standins/tool_daemons.py
+++ b/src/bramleypin/standins/tool_daemons.py
@@ -4,9 +4,10 @@
 """
 
 import contextlib
+import itertools
+import os
 import pathlib
 import random
-import socket
 import typing
 
 import anyio
@@ -18,7 +19,6 @@
 from bramleypin.internal.membership import members  # noqa: F401
 from bramleypin.internal.membership import sync  # noqa: F401
 from bramleypin.internal.membership import view_store  # noqa: F401
-from bramleypin.internal.model import vms
 from bramleypin.internal.net import control
 from bramleypin.internal.net import datagram
 from bramleypin.internal.net import environment
@@ -29,46 +29,45 @@
 from bramleypin.internal.observe import trace  # noqa: F401
 from bramleypin import settings as settings_module
 from bramleypin.standins import platform
+from bramleypin.standins import try_out
 
 SERVICES = ("control", "outcomes", "trace", "status")
-HOST = "127.0.0.1"
 VIEW_TIMEOUT_S = 10.0
 
+_NUMBERS = itertools.count()
 
-def free_port() -> int:
-    """Return a TCP port of loopback that nothing uses at the moment."""
-    with socket.create_server((HOST, 0)) as probe:
-        return probe.getsockname()[1]
+
+def new_host() -> str:
+    """Return an address of loopback that no other test run uses.
+
+    Ports that the kernel chooses would not do: between choosing and binding
+    one, an outgoing connection of another process may get it.
+    """
+    number = next(_NUMBERS)
+    own = os.getpid()
+    return f"127.{64 + own % 64}.{own // 64 % 256}.{number % 250 + 1}"
 
 
 def settings_text(
     key: str, role: str, own_id: str, domain: str, service: str | None
 ) -> str:
-    """Return a settings file with free ports of loopback."""
+    """Return a settings file with a loopback address of its own."""
+    host = new_host()
     lines = [
         f'role = "{role}"',
         f'id = "{own_id}"',
         f'failure_domain = "{domain}"',
         f'keys = ["{key}"]',
         "[addresses]",
-        f'data = "{HOST}:{free_port()}"',
-        f'control = "{HOST}:{free_port()}"',
+        f'data = "{host}:7000"',
+        f'control = "{host}:7001"',
     ]
     if service is not None:
         lines += ["[endpoint]", f'service = "{service}"', f'id = "{own_id}"']
-        lines += [f'address = "{HOST}:{free_port()}"']
+        lines += [f'address = "{host}:5683"']
     return "\n".join(lines) + "\n"
 
 
-def publish(source: platform.MemoryPlatform, folder: pathlib.Path) -> None:
-    """Publish a generated folder as the operations page says."""
-    for path in sorted(folder.glob("shard-*.cbor")):
-        number = path.stem.removeprefix("shard-")
-        source.put(f"shard/{number}", path.read_bytes())
-    manifest = (folder / "manifest.cbor").read_bytes()
-    source.put("manifest", manifest)
-
-
 @contextlib.asynccontextmanager
 async def running(
     folder: pathlib.Path,
@@ -76,18 +75,8 @@
 ) -> typing.AsyncIterator[dict[str, kernel_module.Kernel]]:
     """Run daemons that have the configuration in a folder; yields by id."""
     source = platform.MemoryPlatform()
-    publish(source, folder)
-    listed = tuple(
-        vms.Vm(
-            item.id,
-            item.role,
-            item.failure_domain,
-            item.addresses.data,
-            item.addresses.control,
-        )
-        for item in all_settings
-    )
-    source.put("vms", vms.encode(vms.VmList(vms.FORMAT, 1, listed)))
+    try_out.publish(source, folder)
+    try_out.publish_vms(source, all_settings)
     kernel_by_id: dict[str, kernel_module.Kernel] = {}
     async with anyio.create_task_group() as tasks:
         for item in all_settings:
--- /dev/null
+++ b/src/bramleypin/standins/try_out.py
@@ -0,0 +1,117 @@
+"""Stands in for the platform and the endpoints, to try daemons on loopback.
+
+``python -m bramleypin.standins.try_out FOLDER SETTINGS...`` publishes a
+generated folder at the URL in the first settings file, again whenever its
+manifest changes, and runs a stand-in beside each agent.
+"""
+
+import pathlib
+import random
+import typing
+import urllib.parse
+
+import anyio
+import typer
+
+from bramleypin import errors
+from bramleypin.internal.model import vms
+from bramleypin.internal.net import control
+from bramleypin.internal.net import datagram
+from bramleypin.internal.net import environment
+from bramleypin import settings as settings_module
+from bramleypin.standins import endpoint
+from bramleypin.standins import platform
+
+POLL_INTERVAL_S = 0.5
+
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+def publish(source: platform.MemoryPlatform, folder: pathlib.Path) -> None:
+    """Publish a generated folder as the operations page says."""
+    for path in sorted(folder.glob("shard-*.cbor")):
+        number = path.stem.removeprefix("shard-")
+        source.put(f"shard/{number}", path.read_bytes())
+    source.put("manifest", (folder / "manifest.cbor").read_bytes())
+
+
+def publish_vms(
+    source: platform.MemoryPlatform,
+    all_settings: list[settings_module.Settings],
+) -> None:
+    """Publish the VM list of the daemons with these settings."""
+    listed = tuple(
+        vms.Vm(
+            item.id,
+            item.role,
+            item.failure_domain,
+            item.addresses.data,
+            item.addresses.control,
+        )
+        for item in all_settings
+    )
+    source.put("vms", vms.encode(vms.VmList(vms.FORMAT, 1, listed)))
+
+
+async def serve(
+    folder: pathlib.Path, all_settings: list[settings_module.Settings]
+) -> None:
+    """Serve the platform and the endpoints until cancelled."""
+    first = all_settings[0].platform
+    url = urllib.parse.urlsplit(first.url)
+    source = platform.MemoryPlatform(first.prefix)
+    publish_vms(source, all_settings)
+    server = platform.HttpServer(source)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, url.hostname, url.port)
+        for item in all_settings:
+            if item.endpoint is not None:
+                standin = endpoint.EndpointStandin(
+                    _environment(source), item.endpoint.endpoint_address
+                )
+                tasks.start_soon(standin.run)
+        await _follow(source, folder)
+
+
+async def _follow(
+    source: platform.MemoryPlatform, folder: pathlib.Path
+) -> typing.NoReturn:
+    published = b""
+    while True:
+        try:
+            manifest = (folder / "manifest.cbor").read_bytes()
+            if manifest != published:
+                publish(source, folder)
+                published = manifest
+                typer.echo(f"published {folder}")
+        except FileNotFoundError:
+            # The folder is being replaced at this moment.
+            pass
+        await anyio.sleep(POLL_INTERVAL_S)
+
+
+def _environment(
+    source: platform.MemoryPlatform,
+) -> environment.Environment:
+    return environment.Environment(
+        open_datagram_port=datagram.open_port,
+        open_endpoint_port=datagram.open_endpoint_port,
+        control=control.WebsocketNetwork(),
+        platform=source,
+        random=random.SystemRandom(),
+    )
+
+
+@application.command()
+def run(folder: pathlib.Path, settings: list[pathlib.Path]) -> None:
+    """Serve a folder to daemons with these settings until Ctrl-C."""
+    try:
+        loaded = [settings_module.load(path) for path in settings]
+        anyio.run(serve, folder, loaded)
+    except errors.BramleypinError as error:
+        typer.echo(f"try_out: {error}", err=True)
+        raise typer.Exit(error.exit_code) from error
+
+
+if __name__ == "__main__":
+    application()
--- a/tests/cover/test_tool_burn.py
+++ b/tests/cover/test_tool_burn.py
@@ -95,6 +95,21 @@
         self.assertIsNone(service.window_by_name["1 h"].burn)
         self.assertEqual("ok", service.level)
 
+    @parameterized.parameterized.expand(
+        [
+            ("nothing counted", [], 6 * HOUR_S, "No daemon has counted"),
+            ("hardly covered", [0] * 5, 360.0, "only 10% of the last hour"),
+            ("covered", [0] * 60, 6 * HOUR_S, "within their error budgets."),
+        ]
+    )
+    def test_a_quiet_report_says_what_it_rests_on(
+        self, name, bad_by_minute, covered_s, words
+    ):
+        """Guards against a green verdict after all daemons restarted."""
+        services = burn.services([answer(bad_by_minute, covered_s)], 0)
+        report = burn_page.Report("Asked now", services, [], [], 1, [])
+        self.assertIn(words, report.verdict())
+
     def test_imbalance_is_highest_over_mean(self):
         """Guards against a figure that hides one overloaded endpoint."""
         uses = burn.endpoints(
--- a/tests/cover/test_tool_fleet.py
+++ b/tests/cover/test_tool_fleet.py
@@ -148,7 +148,7 @@
         wrong = self.folder / "wrong.toml"
         text = self.settings_file.read_text(encoding="utf-8")
         wrong.write_text(text.replace(KEY, OTHER_KEY), encoding="utf-8")
-        silent = f"127.0.0.1:{tool_daemons.free_port()}"
+        silent = f"{tool_daemons.new_host()}:7001"
         options = ["--settings", self.settings_file]
         partial, none, refused = self.run_tool(
             ["status", *options, *self.peers(), "--peer", silent],
--- a/tests/cover/test_tool_pages.py
+++ b/tests/cover/test_tool_pages.py
@@ -78,12 +78,18 @@
     def test_the_page_shows_no_command_that_does_not_exist(self):
         """Guards against commands that were renamed or dropped."""
         blocks = re.findall(r"```console\n(.*?)```", PAGE, re.DOTALL)
-        lines = [line for block in blocks for line in block.splitlines()]
+        lines = [
+            line
+            for block in blocks
+            for line in block.splitlines()
+            if line.startswith("bramleypin ")
+        ]
         self.assertTrue(lines)
         for line in lines:
             words = shlex.split(line)[1:]
             options = [word for word in words if word.startswith("--")]
-            path = words[: 2 if words[0] == "report" else 1]
+            groups = ("report", "domain")
+            path = words[: 2 if words[0] in groups else 1]
             result = typer.testing.CliRunner().invoke(
                 cli.application, [*path, "--help"]
             )
