Leave unchanged contacts out of member updates

Cause: the contacts of eight other failure domains were most of each update. Change: they are sent only when they differ from the receiver's version.

--- a/src/bramleypin/bench/control.py
+++ b/src/bramleypin/bench/control.py
@@ -67,6 +67,7 @@
     idle_cpu_share: float
     idle_bytes_per_s: float
     hop_s: float
+    view_bytes: int
 
     def heartbeats_per_s(self) -> float:
         """Return the lease requests of 32 children, by their roles."""
@@ -157,6 +158,7 @@
         idle.cpu_s / IDLE_S,
         idle.bytes / IDLE_S,
         statistics.median(hops),
+        world.view_bytes(),
     )
 
 
@@ -217,6 +219,7 @@
             ("lease request", 1e3 * result.heartbeat.cpu_s, None, "ms"),
             ("lease request", result.heartbeat.bytes, None, "bytes"),
             ("idle", 100 * result.idle_cpu_share, None, "% of a core"),
+            ("whole view", result.view_bytes, None, "bytes"),
             ("hop to the last of 32 children", 1e3 * result.hop_s, None, "ms"),
         )
         for label, value, bound, unit in cells:
--- a/src/bramleypin/bench/control_child.py
+++ b/src/bramleypin/bench/control_child.py
@@ -14,12 +14,17 @@
 
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.membership import control_server
+from bramleypin.internal.membership import lease  # noqa: F401
+from bramleypin.internal.membership import members  # noqa: F401
 from bramleypin.internal.membership import names
 from bramleypin.internal.membership import platform_reader
 from bramleypin.internal.membership import sync  # noqa: F401
+from bramleypin.internal.membership import view_store  # noqa: F401
 from bramleypin.internal.net import control as network
 from bramleypin.internal.net import environment
 from bramleypin.internal.net import platform
+from bramleypin.internal.observe import metrics  # noqa: F401
+from bramleypin.internal.observe import status as _status  # noqa: F401
 from bramleypin.internal.wire import control
 from bramleypin import settings as settings_module
 
--- a/src/bramleypin/bench/control_world.py
+++ b/src/bramleypin/bench/control_world.py
@@ -243,6 +243,13 @@
         )
         return control.Update(configuration.encode(manifest), changed)
 
+    def view_bytes(self) -> int:
+        """Return the size of manifest and shards, as a new process reads."""
+        shards = platform_module.split(self._encoded).values()
+        manifest = configuration.encode(self.publisher.manifest)
+        encoded = (configuration.encode_shard(shard) for shard in shards)
+        return len(manifest) + sum(len(data) for data in encoded)
+
     def changed_services(self, count: int) -> dict[str, bytes]:
         """Return new documents of some services, other ones each time."""
         names = list(self._encoded)
--- a/src/bramleypin/internal/membership/members.py
+++ b/src/bramleypin/internal/membership/members.py
@@ -40,6 +40,7 @@
         self.version = 0
         self.vm_by_id: dict[str, vms.Vm] = {}
         self.contacts_by_domain: dict[str, list[vms.Vm]] = {}
+        self._contacts_version = 0
         self.listeners: list[typing.Callable[[], None]] = []
         self._leaving: frozenset[address.Address] = frozenset()
         self._changes: collections.deque[_Change] = collections.deque(
@@ -90,14 +91,20 @@
             base,
             [_values(everyone[i]) for i in ids if i in everyone],
             [i for i in ids if i not in everyone],
-            [
-                _values(vm)
-                for contacts in self.contacts_by_domain.values()
-                for vm in contacts
-            ],
+            self._contacts_since(base),
             [str(item) for item in sorted(self._leaving)],
         )
 
+    def _contacts_since(self, base: int) -> list[list[str]] | None:
+        # A list for eight failure domains is most of a small update.
+        if base and self._contacts_version <= base:
+            return None
+        return [
+            _values(vm)
+            for contacts in self.contacts_by_domain.values()
+            for vm in contacts
+        ]
+
     def apply_update(self, update: control.MemberUpdate) -> bool:
         """Take over a peer's update; ``False`` when it brings nothing new.
 
@@ -113,7 +120,9 @@
         for vm in vms.convert(update.members):
             vm_by_id[vm.id] = vm
         contacts: dict[str, list[vms.Vm]] = {}
-        for vm in vms.convert(update.contacts):
+        if update.contacts is None:
+            contacts = self.contacts_by_domain
+        for vm in vms.convert(update.contacts or ()):
             contacts.setdefault(vm.failure_domain, []).append(vm)
         leaving = {address.parse(text) for text in update.leaving}
         self._replace(update.version, vm_by_id, contacts, leaving)
@@ -138,6 +147,8 @@
                 vm_by_id[vm_id] = vm
         if self.version:
             self._changes.append(_Change(self.version, version, ids))
+        if contacts != self.contacts_by_domain:
+            self._contacts_version = version
         self.version = version
         self.vm_by_id = vm_by_id
         self.contacts_by_domain = contacts
--- a/src/bramleypin/internal/wire/control.py
+++ b/src/bramleypin/internal/wire/control.py
@@ -114,15 +114,16 @@
     """What changed in the VM list since version ``base`` (0: all of it).
 
     ``members`` and ``removed`` concern the sender's failure domain;
-    ``contacts`` names members of the others; ``leaving`` holds the data
-    addresses of all leaving VMs.
+    ``contacts`` names members of the others, and is ``None`` when they are
+    the same as at ``base``; ``leaving`` holds the data addresses of all
+    leaving VMs.
     """
 
     version: int
     base: int
     members: list[list[str]]
     removed: list[str]
-    contacts: list[list[str]]
+    contacts: list[list[str]] | None
     leaving: list[str]
 
 
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -67,3 +67,10 @@
         place_by_id = places(2_970)
         single = [p for p in place_by_id.values() if len(p.upstream) < 2]
         self.assertLess(len(single), 0.05 * len(place_by_id))
+
+    @parameterized.parameterized.expand([(str(n), n) for n in (2, 3, 4, 7)])
+    def test_nobody_is_left_without_a_process_to_ask(self, _, count):
+        """Guards against readers of one domain that confirm no view."""
+        everyone = fleet.make_vms(count, ("a",))
+        for vm in everyone:
+            self.assertTrue(roster.place(vm, everyone, {}).upstream)
