--- a/src/bramleypin/bench/imbalance.py
+++ b/src/bramleypin/bench/imbalance.py
@@ -71,13 +71,15 @@
     def __init__(self, deployment: small_fleet.Deployment, seed: int):
         self.deployment = deployment
         self.random = random.Random(f"load {seed}")
-        self.fleet = small_fleet.Fleet(deployment, seed)
+        self.seed = seed
+        self.fleet: small_fleet.Fleet
         self.budget = retry_budget.RetryBudget()
         self.delays_s: list[float] = []
         self.failed = 0
 
     async def main(self) -> None:
         """Run the load, then stop everything."""
+        self.fleet = small_fleet.Fleet(self.deployment, self.seed)
         async with anyio.create_task_group() as tasks:
             await self.fleet.start(tasks)
             async with anyio.create_task_group() as callers:
--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -27,6 +27,10 @@
 QUEUE_PER_SLOT = 2
 TICK_S = 0.25
 
+# Weight of the recent utilisation in the load, in slots; under 1, so that it
+# decides between endpoints with the same share of busy slots only.
+TIE_BREAK = 0.5
+
 # Added to the load of an endpoint that reports to be draining. Reports may
 # mislead, so such an endpoint is chosen last and not excluded.
 REPORTED_DRAINING_LOAD = 2.0
@@ -77,12 +81,14 @@
         self.endpoint_down = False
         self.reported_draining = False
         self.ramp: cold_ramp.ColdRamp
+        self.utilisation: cold_ramp.Utilisation
         self.standing: standing.Standing
         self._metrics: metrics.Metrics
 
     async def start(self) -> None:
         """Assume a cold endpoint: nothing is known about it yet."""
         self.ramp = cold_ramp.ColdRamp()
+        self.utilisation = cold_ramp.Utilisation()
         self.standing = standing.Standing(self.kernel)
         self._metrics = self.kernel.get("metrics")
 
@@ -106,8 +112,14 @@
         return QUEUE_PER_SLOT * max(1, self.limit())
 
     def load(self) -> float:
-        """Return the requests here over the limit; 1 means all are busy."""
-        load = (self.running + len(self.line)) / max(1, self.limit())
+        """Return the requests here over the limit; 1 means all are busy.
+
+        Among equals, the endpoint that was less busy lately is chosen: a
+        fast one needs a new request sooner and would stay idle for longer.
+        """
+        limit = max(1, self.limit())
+        load = (self.running + len(self.line)) / limit
+        load += TIE_BREAK / limit * min(1.0, self.utilisation.value())
         return load + REPORTED_DRAINING_LOAD * self.reported_draining
 
     def state(self, flows_full: bool = False) -> frames.State:
@@ -152,7 +164,7 @@
     def _take_slot(self, ticket: requests.Ticket) -> Verdict:
         if not ticket.start():
             return Verdict.CLOSED
-        self.running += 1
+        self._change_running(1)
         self._metrics.count(ADMITTED)
         return Verdict.ADMITTED
 
@@ -209,9 +221,13 @@
 
     def release(self) -> None:
         """Give back a slot."""
-        self.running -= 1
+        self._change_running(-1)
         self._admit_waiting()
 
+    def _change_running(self, by: int) -> None:
+        self.running += by
+        self.utilisation.note(self.running / max(1, self.limit()))
+
     def answered(self, service_time_s: float, kind: str = "") -> None:
         """Learn from an answer to a kind of request of the endpoint."""
         self.times.add(service_time_s, kind)
--- a/src/bramleypin/internal/agent/cold_ramp.py
+++ b/src/bramleypin/internal/agent/cold_ramp.py
@@ -23,6 +23,8 @@
 LONG_WEIGHT = 1 / 128
 LONG_SAMPLES = 32
 
+SMOOTHING_S = 10.0
+
 # Further kinds of requests share one mean, so that memory stays bounded.
 KINDS_KEPT = 64
 
@@ -121,3 +123,24 @@
         self.count += 1
         weight = max(1 / self.count, LONG_WEIGHT)
         self.value_s += weight * (service_time_s - self.value_s)
+
+
+class Utilisation:
+    """The share of slots that was busy, smoothed over ``SMOOTHING_S``."""
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._share = 0.0
+        self._since_s = anyio.current_time()
+
+    def note(self, share: float) -> None:
+        """Learn the share of busy slots from now on."""
+        self._value = self.value()
+        self._since_s = anyio.current_time()
+        self._share = share
+
+    def value(self) -> float:
+        """Return the smoothed share, 0 to 1 and above."""
+        age_s = anyio.current_time() - self._since_s
+        kept = math.exp(-age_s / SMOOTHING_S)
+        return self._value * kept + self._share * (1 - kept)
--- a/src/bramleypin/standins/endpoint.py
+++ b/src/bramleypin/standins/endpoint.py
@@ -285,12 +285,15 @@
             return
         token = (source, message.token)
         job = self._job_by_token.get(token)
-        if job is None or job in self._waiting:
+        if job is None:
+            # An earlier instance may have run it, so this is no "not run".
+            self._cancelled_tokens.add(token)
+            self._reply(message, source, NOT_FOUND)
+        elif job in self._waiting:
+            self._waiting.remove(job)
+            job.cancelled = True
+            job.started.set()
             self._cancelled_tokens.add(token)
-            if job is not None:
-                self._waiting.remove(job)
-                job.cancelled = True
-                job.started.set()
             self._reply(message, source, coap.DELETED, b"cancelled before run")
         else:
             self._reply(message, source, coap.CONFLICT, b"running")
