--- /dev/null
+++ b/src/bramleypin/bench/first_request.py
@@ -0,0 +1,79 @@
+"""Bench ``first_request``: what the pin costs a flow's first booking."""
+
+import collections.abc
+
+import anyio
+
+from bramleypin.bench import imbalance
+from bramleypin.bench import rows
+from bramleypin.bench import small_fleet
+from bramleypin import client as client_module
+from bramleypin.standins import virtual_network
+
+SEED = 1
+FLOWS = 50
+
+
+async def _time(
+    client: client_module.Client, method: str
+) -> tuple[float, int]:
+    began_s = anyio.current_time()
+    result = await client.request(method, "bookings", b"booking")
+    return anyio.current_time() - began_s, result.round_trips
+
+
+def measure(
+    deployment: small_fleet.Deployment, seed: int
+) -> collections.abc.Iterator[rows.Row]:
+    """Return the rows of one deployment with idle endpoints."""
+    first: list[tuple[float, int]] = []
+    later: list[tuple[float, int]] = []
+
+    async def main() -> None:
+        fleet = small_fleet.Fleet(
+            deployment,
+            seed,
+            change=lambda _, profile: setattr(profile, "exponential", False),
+        )
+        for rig in fleet.rigs:
+            rig.endpoint.profile.speed = 1.0
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            for _ in range(FLOWS):
+                client, port = await fleet.new_client(tasks)
+                first.append(await _time(client, "POST"))
+                later.append(await _time(client, "POST"))
+                await port.aclose()
+            tasks.cancel_scope.cancel()
+
+    virtual_network.run(main, seed)
+    trips = sum(item[1] for item in first) / FLOWS
+    usual = sum(item[1] for item in later) / FLOWS
+    extra_s = (sum(i[0] for i in first) - sum(i[0] for i in later)) / FLOWS
+    yield rows.Row(
+        "first_request",
+        f"{deployment.name}: extra round trips of a flow's first booking",
+        round(trips - 1, 3),
+        round(usual - 1, 3),
+        "later bookings of the flow",
+        None,
+        "round trips",
+        seed,
+    )
+    yield rows.Row(
+        "first_request",
+        f"{deployment.name}: extra time of a flow's first booking",
+        round(extra_s * 1000, 3),
+        0.0,
+        "later bookings of the flow",
+        None,
+        "ms",
+        seed,
+    )
+
+
+@rows.BENCHES.register("first_request")
+def bench() -> collections.abc.Iterator[rows.Row]:
+    """Measure the booking services of both deployments."""
+    for deployment in (imbalance.DEPLOYMENTS[0], imbalance.DEPLOYMENTS[2]):
+        yield from measure(deployment, SEED)
