Take slow service as usual when a lower limit does not help

Cause: an endpoint that turned slow for another reason than load was kept at a low limit for as long as the long mean took to follow, half a minute or more. Change: when service is as slow after a decrease as before it, the policy gives the slots back and the recent times become the usual ones.

--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -237,7 +237,8 @@
             self.turned_cold("service_time_jump")
             return
         self.ramp.confirm()
-        self.policy.answered(self.running, ratio)
+        if self.policy.answered(self.running, ratio):
+            self.times.rebase()
 
     def overloaded(self, reason: str) -> None:
         """Learn that the endpoint shed a request or stayed silent."""
--- a/src/bramleypin/internal/agent/cold_ramp.py
+++ b/src/bramleypin/internal/agent/cold_ramp.py
@@ -105,6 +105,13 @@
         """Tell whether service has become much slower at once."""
         return self.recent_ratio() >= JUMP
 
+    def rebase(self) -> None:
+        """Take the recent times as the usual ones, for all kinds."""
+        ratio = self.recent_ratio()
+        for mean in (self._overall, *self._mean_by_kind.values()):
+            mean.value_s *= ratio
+        self._recent_ratios.clear()
+
     def clear(self) -> None:
         """Forget the recent times, so that one jump is noticed once."""
         self._recent_ratios.clear()
--- a/tests/cover/test_agent_requests.py
+++ b/tests/cover/test_agent_requests.py
@@ -319,6 +319,7 @@
         async def scenario(stage):
             pin = await stage.pin()
             stage.send("POST", b"first", payload=b"first", pin=pin)
+            await anyio.sleep(0.01)
             token = stage.token()
             options = {"payload": b"book", "pin": pin}
             if after_s < 0:
@@ -375,6 +376,7 @@
             for number in range(ahead):
                 key = b"ahead%d" % number
                 stage.send("POST", key, payload=key, pin=pin)
+            await anyio.sleep(0.01)
             token = stage.token()
             options = {
                 "payload": b"book",
