--- a/src/bramleypin/internal/balancer/agents.py
+++ b/src/bramleypin/internal/balancer/agents.py
@@ -9,6 +9,7 @@
 import anyio
 
 from bramleypin.internal import address
+from bramleypin.internal.wire import frames
 
 SUSPECT_S = 5.0
 # An agent that is silent for longer has most likely been replaced.
@@ -29,7 +30,7 @@
     address: address.Address
     incarnation: int = 0
     silent_since_s: float = 0.0
-    probe: bytes = b""
+    probe: frames.Probe | None = None
     failure_domain: str = ""
     refused_until_s: float = 0.0
     suspect_until_s: float = 0.0
@@ -76,7 +77,7 @@
         return restarted
 
     def suspect(
-        self, at: address.Address, failure_domain: str, probe: bytes
+        self, at: address.Address, failure_domain: str, probe: frames.Probe
     ) -> None:
         """Skip an agent that has not answered a probe for the next 5 s."""
         agent = self._get(at)
--- a/src/bramleypin/internal/balancer/openings.py
+++ b/src/bramleypin/internal/balancer/openings.py
@@ -100,7 +100,11 @@
     def _ask_the_silent(self) -> None:
         for agent in self._forwarder.agents.silent():
             if not self._store.view.is_out(agent.failure_domain):
-                self._port.send(agent.probe, agent.address)
+                # The revision in force may have changed since it was kept.
+                probe = dataclasses.replace(
+                    agent.probe, revision=self._store.view.revision
+                )
+                self._port.send(frames.encode(probe, self._key), agent.address)
 
     def __len__(self) -> int:
         return len(self._opening_by_key)
@@ -180,22 +184,23 @@
         try:
             for place, choice in enumerate(opening.asked):
                 probe = self._probe(opening, number << CANDIDATE_BITS | place)
-                self._port.send(probe, choice.endpoint.data)
+                self._port.send(
+                    frames.encode(probe, self._key), choice.endpoint.data
+                )
             with anyio.move_on_after(PROBE_TIMEOUT_S):
                 await opening.done.wait()
         finally:
             del self._opening_by_number[number]
 
-    def _probe(self, opening: Opening, probe_id: int) -> bytes:
+    def _probe(self, opening: Opening, probe_id: int) -> frames.Probe:
         caller, service_address = flow_key.decode(opening.key)
-        probe = frames.Probe(
+        return frames.Probe(
             probe_id=probe_id,
             revision=self._store.view.revision,
             service=opening.service,
             service_address=service_address,
             caller=caller,
         )
-        return frames.encode(probe, self._key)
 
     def probe_answered(self, answer: frames.ProbeAnswer) -> None:
         """Take an answer to a probe."""
