Wait longer for the later blocks of a download

Change: later blocks, which only the owner can serve, wait up to 25 s, which takes in the fourth transmission.

--- a/src/bramleypin/client.py
+++ b/src/bramleypin/client.py
@@ -24,6 +24,11 @@
 # A request that may be repeated is sent anew, without the pin, when nothing
 # has answered for this long: the pin's owner has probably gone.
 ATTEMPT_TIMEOUT_S = 8.0
+
+# Only the owner of a download can serve its later blocks, so these wait for
+# the transmission at 14 to 21 s too, should the earlier ones have met a
+# balancer that does not answer.
+BLOCK_TIMEOUT_S = 25.0
 MAX_ECHO_ROUNDS = 4
 
 BACKOFF_BASE_S = 0.1
@@ -292,8 +297,10 @@
             repeatable = call.idempotent or not pinned
             until_s = call.deadline_s
             if repeatable:
-                patience_s = anyio.current_time() + ATTEMPT_TIMEOUT_S
-                until_s = min(until_s, patience_s)
+                patience_s = ATTEMPT_TIMEOUT_S
+                if part.block2 is not None:
+                    patience_s = BLOCK_TIMEOUT_S
+                until_s = min(until_s, anyio.current_time() + patience_s)
             call.round_trips += 1
             answer = await self._exchanges.exchange(
                 message, call.deadline_s, until_s, call.cancel
