Send whole shards to at most four peers at once

Cause: a change of all 3,600 services to 32 children at once took 109 MB. Change: a semaphore for transfers; the bench ages the view by deltas.

--- /dev/null
+++ b/src/bramleypin/bench/capacity.py
@@ -0,0 +1,399 @@
+"""Regenerates the tables of ``docs/CAPACITY.md`` from bench rows.
+
+Usage: ``python -m bramleypin.bench config control > docs/capacity.jsonl`` and
+then ``python -m bramleypin.bench.capacity docs/capacity.jsonl
+docs/CAPACITY.md``. Every figure is a row, or arithmetic on rows and on the
+stated target.
+"""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import sys
+import typing
+
+from bramleypin.bench import config
+from bramleypin.bench import control
+from bramleypin.bench import control_world
+from bramleypin.internal.membership import lease
+from bramleypin.internal.membership import roster
+from bramleypin.internal import registry
+
+# The target of section 1.7 of docs/design.md.
+BALANCERS = 1_500
+AGENTS = 7_400
+PROCESSES = BALANCERS + AGENTS
+FAILURE_DOMAINS = 9
+PLATFORM_CALLS_PER_S = 2_000
+SPREAD_BOUND_S = 15.0
+FAILED_A_DAY = 30
+REPLACED_A_DAY = 2_000
+# Assumptions of this page; the target states no figures for them.
+RACK_VMS = 40
+PARTITION_S = 600.0
+HOP_LATENCY_S = 0.001
+PLATFORM_ANSWER_S = 0.003
+
+_BEGIN = "<!-- table: {} -->"
+_END = "<!-- end -->"
+
+Table = typing.Callable[["Rows"], collections.abc.Iterable[tuple]]
+
+TABLES: registry.Registry[Table] = registry.Registry("table")
+
+
+@dataclasses.dataclass(frozen=True)
+class Fit:
+    """A straight line through measured points, by least squares."""
+
+    intercept: float
+    slope: float
+    r_squared: float
+
+
+def fit(points: list[tuple[float, float]]) -> Fit:
+    """Fit a line; ``r_squared`` is 1 when all points lie on it."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread_x = sum((x - mean_x) ** 2 for x, _ in points)
+    spread_y = sum((y - mean_y) ** 2 for _, y in points)
+    both = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    slope = both / spread_x
+    r_squared = both**2 / (spread_x * spread_y) if spread_y else 1.0
+    return Fit(mean_y - slope * mean_x, slope, r_squared)
+
+
+class Rows:
+    """Rows of the benches ``config`` and ``control``."""
+
+    def __init__(self, lines: collections.abc.Iterable[str]):
+        self._row_by_key = {}
+        for line in lines:
+            row = json.loads(line)
+            key = (row["bench"], row["case"], row["unit"])
+            self._row_by_key[key] = row
+
+    def control(self, size: str, label: str, unit: str) -> float:
+        """Return a figure of the bench control."""
+        case = f"{size} of the target: {label}"
+        return self._row_by_key["control", case, unit]["ours"]
+
+    def config(self, count: int, label: str, unit: str) -> dict:
+        """Return a row of the bench config."""
+        return self._row_by_key["config", f"{count} processes: {label}", unit]
+
+    def control_points(
+        self, label: str, unit: str
+    ) -> list[tuple[float, float]]:
+        """Return a figure by the number of hosts behind the services."""
+        return [
+            (float(size.hosts), self.control(name, label, unit))
+            for name, size in control.SIZES.items()
+        ]
+
+
+def _number(value: float) -> str:
+    if value and abs(value) < 0.001:
+        return f"{value:.2e}"
+    if abs(value) >= 1_000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _verdict(value: float, bound: float | None) -> str:
+    if bound is None:
+        return ""
+    return "met" if value <= bound else "MISSED"
+
+
+def _whole_events(rows: Rows) -> dict[str, tuple[float, float]]:
+    """Return milliseconds and bytes of each event at the target's size."""
+    return {
+        label: (
+            rows.control("1", label, "ms"),
+            rows.control("1", label, "bytes"),
+        )
+        for label in ("change", "VM change", "lease request")
+    }
+
+
+@TABLES.register("slopes")
+def slopes(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """Fit every figure of the bench control over its four sizes."""
+    yield ("figure", "unit", *control.SIZES, "fit over hosts", "R²", "bound")
+    cells = (
+        ("memory", "MB", control.MEMORY_BOUND_MB),
+        ("memory above a bare interpreter", "MB", control.MEMORY_BOUND_MB),
+        (
+            "memory with 4 earlier versions of each service",
+            "MB",
+            control.MEMORY_BOUND_MB,
+        ),
+        ("processor, day compressed", "% of a core", control.PROCESSOR_BOUND),
+        ("bytes, day compressed", "bytes/s", control.BYTES_BOUND),
+        ("change", "ms", None),
+        ("change", "bytes", None),
+        ("VM change", "ms", None),
+        ("VM change", "bytes", None),
+        ("lease request", "ms", None),
+        ("whole view", "bytes", None),
+        ("hop to the last of 32 children", "ms", None),
+    )
+    for label, unit, bound in cells:
+        points = rows.control_points(label, unit)
+        line = fit(points)
+        text = f"{_number(line.intercept)} + {_number(line.slope)} x"
+        last = points[-1][1]
+        verdict = _verdict(last, bound)
+        yield (
+            label,
+            unit,
+            *(_number(y) for _, y in points),
+            text,
+            f"{line.r_squared:.3f}",
+            f"{_number(bound)} ({verdict})" if bound else "",
+        )
+
+
+@TABLES.register("spread by size")
+def spread_by_size(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """List the rows of the bench config."""
+    yield ("figure", "unit", *config.SIZES, "baseline at the largest", "bound")
+    cells = (
+        ("until in force", "s"),
+        ("in force after outage", "s"),
+        ("reads, busiest process", "reads/s"),
+        ("platform", "calls/s"),
+        ("bytes a process", "bytes/change"),
+    )
+    for label, unit in cells:
+        found = [rows.config(count, label, unit) for count in config.SIZES]
+        worst = max(row["ours"] for row in found)
+        bound = found[-1]["bound"]
+        text = f"{bound:g} ({_verdict(worst, bound)})" if bound else ""
+        yield (
+            label,
+            unit,
+            *(_number(row["ours"]) for row in found),
+            _number(found[-1]["baseline"]),
+            text,
+        )
+
+
+@TABLES.register("places")
+def places(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """Work out the control load of a leaf, a parent and the worst place."""
+    yield (
+        "role and place",
+        "children",
+        "lease requests sent/s",
+        "answered/s",
+        "control messages/s",
+        "bytes/s",
+        "% of a core",
+    )
+    events = _whole_events(rows)
+    worst = control_world.CHILDREN
+    idle = rows.control("1", "idle", "% of a core")
+    for role, interval_s in (
+        ("balancer", lease.REQUEST_INTERVAL_S),
+        ("agent", lease.AGENT_REQUEST_INTERVAL_S),
+    ):
+        for place, children in (
+            ("leaf", 0),
+            ("parent in one order", roster.FANOUT),
+            ("parent in both orders, reader", worst),
+        ):
+            share = (children + 2) / (worst + 3)
+            asked = 1 / interval_s
+            answered = children * (
+                control.BALANCER_SHARE / lease.REQUEST_INTERVAL_S
+                + (1 - control.BALANCER_SHARE) / lease.AGENT_REQUEST_INTERVAL_S
+            )
+            updates_per_s = {
+                "change": control.CHANGES_A_DAY / control.DAY_S,
+                "VM change": control.VM_CHANGES_A_DAY / control.DAY_S,
+            }
+            moved = (asked + answered) * events["lease request"][1]
+            busy = answered * events["lease request"][0] / 10 + idle
+            for label, per_s in updates_per_s.items():
+                # Bytes go to each child; a part of the time does not.
+                moved += events[label][1] * share * per_s
+                busy += events[label][0] * per_s / 10
+            messages = 2 * (asked + answered)
+            messages += (children + 2) * sum(updates_per_s.values())
+            yield (
+                f"{role}, {place}",
+                children,
+                _number(asked),
+                _number(answered),
+                _number(messages),
+                _number(moved),
+                _number(busy),
+            )
+
+
+@TABLES.register("platform")
+def platform(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """Work out the load on the configuration service."""
+    yield ("quantity", "value", "from")
+    readers = FAILURE_DOMAINS * roster.READERS_PER_DOMAIN * roster.ORDERS
+    worst = max(
+        rows.config(count, "reads, busiest process", "reads/s")["ours"]
+        for count in config.SIZES
+    )
+    yield ("readers", readers, "9 failure domains, 2 orders, 3 each")
+    yield (
+        "calls/s of a reader",
+        _number(worst),
+        "row config, busiest process, at 3,900 changes a day",
+    )
+    yield (
+        "calls/s of all readers for the configuration",
+        _number(worst * readers),
+        f"of {PLATFORM_CALLS_PER_S:,} calls/s",
+    )
+    parts = control.VM_CHANGES_A_DAY / control.DAY_S
+    per_reader = 1 / 15 + parts
+    yield (
+        "calls/s of all readers for the VM list, at most",
+        _number(per_reader * readers),
+        "index every 15 s, and one part for each VM change",
+    )
+    fresh = REPLACED_A_DAY / control.DAY_S * (FAILURE_DOMAINS + 1)
+    yield (
+        "calls/s of new processes",
+        _number(fresh),
+        "VM index and 9 parts each; the view comes from a peer",
+    )
+    start_s = PROCESSES * (FAILURE_DOMAINS + 1) / PLATFORM_CALLS_PER_S
+    yield (
+        "s to start all processes at once",
+        _number(start_s),
+        "8,900 processes, 10 calls each",
+    )
+    polling = PROCESSES
+    yield (
+        "calls/s if every process polled each second",
+        f"{polling:,}",
+        "baseline of the bench config",
+    )
+
+
+def tree_depth(members: int) -> int:
+    """Return the hops from the readers to the last member of an order."""
+    depth, rank = 0, members - 1
+    while (parent := roster.parent_rank(rank)) is not None:
+        rank = parent
+        depth += 1
+    return depth
+
+
+@TABLES.register("spread")
+def spread(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """Work out the time until a change is in force at the target."""
+    yield ("step", "s", "from")
+    members = -(-PROCESSES // FAILURE_DOMAINS)
+    hop_s = rows.control("1", "hop to the last of 32 children", "ms") / 1e3
+    read_s = 2 * PLATFORM_ANSWER_S
+    yield (
+        "watch answers, shard is read",
+        _number(read_s),
+        "two calls of 3 ms each (assumed; the platform answers in ms)",
+    )
+    depth = tree_depth(members)
+    hops_s = depth * (hop_s + HOP_LATENCY_S)
+    yield (
+        f"{depth} hops down a tree of {members}",
+        _number(hops_s),
+        f"row control, hop {_number(hop_s)} s each, and 1 ms latency",
+    )
+    total_s = read_s + hops_s
+    verdict = _verdict(total_s, SPREAD_BOUND_S)
+    yield ("in force everywhere", _number(total_s), f"bound 15 s ({verdict})")
+    yield (
+        "after an outage, at most",
+        _number(total_s + 7.5),
+        "readers retry after 2.5 s to 7.5 s",
+    )
+
+
+@TABLES.register("day")
+def day(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """Work out what the stated failures cost."""
+    yield ("failure", "a process pays", "fleet-wide", "mechanism")
+    milliseconds, moved = _whole_events(rows)["VM change"]
+    view = rows.control("1", "whole view", "bytes")
+    change = rows.control("1", "change", "bytes") / (
+        control_world.CHILDREN + 3
+    )
+    yield (
+        f"{FAILED_A_DAY} VMs fail",
+        f"{FAILED_A_DAY * milliseconds / 1e3:.2f} s of processor a day",
+        f"{FAILED_A_DAY} x {control_world.CHILDREN} children reconnect",
+        "second parent; helpers after 2 s; list update",
+    )
+    yield (
+        f"{REPLACED_A_DAY:,} VMs replaced",
+        f"{2 * REPLACED_A_DAY * milliseconds / 1e3:.0f} s of processor and "
+        f"{2 * REPLACED_A_DAY * moved / 1e6:.0f} MB a day at the worst place",
+        f"{REPLACED_A_DAY * view / 1e9:.1f} GB of whole views a day",
+        "list updates; each new process takes the view from one peer",
+    )
+    yield (
+        f"a rack of {RACK_VMS} (assumed) fails",
+        f"{RACK_VMS * milliseconds / 1e3:.2f} s of processor if listed singly",
+        f"at most {RACK_VMS * control_world.CHILDREN:,} children reconnect",
+        "as above; orphans ask 3 members at once, then the platform",
+    )
+    members = -(-PROCESSES // FAILURE_DOMAINS)
+    yield (
+        f"a failure domain of {members} fails",
+        f"{roster.READERS_PER_DOMAIN * roster.ORDERS} readers of the domain "
+        "before it lose a link",
+        f"{members * view / 1e9:.1f} GB when it starts again",
+        "each domain has its own readers and trees",
+    )
+    missed = PARTITION_S * control.CHANGES_A_DAY / control.DAY_S
+    yield (
+        f"regions apart for {PARTITION_S / 60:.0f} min (assumed)",
+        f"{missed * change / 1e3:.0f} kB, {missed:.0f} changes as a delta",
+        f"{PROCESSES * missed * change / 1e6:.0f} MB if nobody had them",
+        "log of 64 changes; cross-domain links; NOTICE",
+    )
+
+
+def render(cells: collections.abc.Iterable[tuple]) -> str:
+    """Return cells as a Markdown table; the first ones are the head."""
+    lines = [
+        "| " + " | ".join(str(cell) for cell in row) + " |" for row in cells
+    ]
+    columns = lines[0].count("|") - 1
+    lines.insert(1, "|" + " --- |" * columns)
+    return "\n".join(lines)
+
+
+def update(page: str, rows: Rows) -> str:
+    """Return the page with every table between its marks made anew."""
+    for name, table in TABLES.entry_by_name.items():
+        mark = _BEGIN.format(name)
+        before, found, rest = page.partition(mark)
+        if not found:
+            continue
+        _, _, after = rest.partition(_END)
+        page = f"{before}{mark}\n\n{render(table(rows))}\n\n{_END}{after}"
+    return page
+
+
+def main(rows_path: str, page_path: str) -> None:
+    """Rewrite the tables of a page from a file of rows."""
+    lines = pathlib.Path(rows_path).read_text(encoding="utf-8").splitlines()
+    page = pathlib.Path(page_path)
+    text = update(page.read_text(encoding="utf-8"), Rows(lines))
+    page.write_text(text, encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- a/src/bramleypin/bench/control.py
+++ b/src/bramleypin/bench/control.py
@@ -40,6 +40,7 @@
 BEATS = 40
 IDLE_S = 5.0
 EARLIER_VERSIONS = 4
+AGED_AT_ONCE = 100
 # IPv4 and TCP headers with timestamps (52), a WebSocket header (up to 8), and
 # an acknowledgement without data (52) for each message.
 WIRE_BYTES_A_MESSAGE = 112
@@ -61,6 +62,7 @@
     rss: int
     aged_rss: int
     peak_rss: int
+    whole_peak_rss: int
     change: Cost
     members: Cost
     heartbeat: Cost
@@ -143,15 +145,19 @@
     idle, _ = await _cost(
         world, functools.partial(anyio.sleep, IDLE_S), 1, 1, 2 * IDLE_S
     )
-    for _ in range(EARLIER_VERSIONS):
-        await world.change_configuration(world.size.services)
-        await anyio.sleep(0.5)
+    steps = -(-EARLIER_VERSIONS * world.size.services // AGED_AT_ONCE)
+    for _ in range(steps):
+        await world.change_configuration(AGED_AT_ONCE)
     aged = await world.usage()
+    await world.change_configuration(world.size.services)
+    await anyio.sleep(1.0)
+    whole = await world.usage()
     return Result(
         bare,
         fresh["rss"],
         aged["rss"],
         aged["peak_rss"],
+        whole["peak_rss"],
         change,
         members,
         heartbeat,
@@ -200,6 +206,12 @@
                 "MB",
             ),
             ("peak memory", result.peak_rss / mega, None, "MB"),
+            (
+                "peak memory when all services change at once",
+                result.whole_peak_rss / mega,
+                None,
+                "MB",
+            ),
             (
                 "processor, day compressed",
                 100 * result.processor_share(),
--- a/src/bramleypin/internal/membership/peer_link.py
+++ b/src/bramleypin/internal/membership/peer_link.py
@@ -179,11 +179,17 @@
             for number, digest in view.manifest.digest_by_shard.items()
             if theirs.get(number) != digest
         }
+        async with self._sync.transfers:
+            await self._send_shards(manifest, view.revision, numbers)
+
+    async def _send_shards(
+        self, manifest: bytes, revision: int, numbers: set[int]
+    ) -> None:
         by_shard = self._store.shards(numbers)
         await self.send(control.Update(manifest, {}, tuple(sorted(numbers))))
         for number in sorted(numbers):
             services = configuration.encode_shard(by_shard.pop(number))
-            await self.send(control.Shard(view.revision, number, services))
+            await self.send(control.Shard(revision, number, services))
 
     async def _receive(self) -> None:
         while True:
--- a/src/bramleypin/internal/membership/sync.py
+++ b/src/bramleypin/internal/membership/sync.py
@@ -29,6 +29,9 @@
 # Two reads in this time stay within the 0.2 calls a second of a process.
 ASK_PLATFORM_INTERVAL_S = 10.0
 FETCH_TIMEOUT_S = 2.0
+# Whole shards to all 32 children at once would take many times the memory of
+# the view.
+MAX_TRANSFERS = 4
 FETCH_INTERVAL_S = 0.1
 
 _log = logs.get("sync")
@@ -54,6 +57,7 @@
         self.first_view_asked = False
         self.rejected_by_reason: dict[str, int] = {}
         self.conflicts = 0
+        self.transfers = anyio.Semaphore(MAX_TRANSFERS)
         self._dialler_by_id: dict[str, _Dialler] = {}
         self._ask_platform_at = 0.0
         self._linked_at = 0.0
