--- a/src/bramleypin/bench/capacity.py
+++ b/src/bramleypin/bench/capacity.py
@@ -1,14 +1,16 @@
 """Regenerates the tables of ``docs/CAPACITY.md`` from bench rows.
 
-Usage: ``python -m bramleypin.bench config control > docs/capacity.jsonl`` and
-then ``python -m bramleypin.bench.capacity docs/capacity.jsonl
-docs/CAPACITY.md``. Every figure is a row, or arithmetic on rows and on the
-stated target.
+Usage: ``python -m bramleypin.bench config control flow_state >
+docs/capacity.jsonl`` and then ``python -m bramleypin.bench.capacity
+docs/capacity.jsonl docs/CAPACITY.md``.
+
+Every figure is a row, or arithmetic on rows and on the stated target.
 """
 
 import collections.abc
 import dataclasses
 import json
+import math
 import pathlib
 import sys
 import typing
@@ -16,7 +18,9 @@
 from bramleypin.bench import config
 from bramleypin.bench import control
 from bramleypin.bench import control_world
+from bramleypin.bench import flow_state
 from bramleypin.internal.membership import lease
+from bramleypin.internal.membership import platform_reader
 from bramleypin.internal.membership import roster
 from bramleypin.internal import registry
 
@@ -24,6 +28,7 @@
 BALANCERS = 1_500
 AGENTS = 7_400
 PROCESSES = BALANCERS + AGENTS
+OPEN_FLOWS = 24_000_000
 FAILURE_DOMAINS = 9
 PLATFORM_CALLS_PER_S = 2_000
 SPREAD_BOUND_S = 15.0
@@ -66,7 +71,7 @@
 
 
 class Rows:
-    """Rows of the benches ``config`` and ``control``."""
+    """Rows of the benches ``config``, ``control`` and ``flow_state``."""
 
     def __init__(self, lines: collections.abc.Iterable[str]):
         self._row_by_key = {}
@@ -84,6 +89,18 @@
         """Return a row of the bench config."""
         return self._row_by_key["config", f"{count} processes: {label}", unit]
 
+    def flow_points(self) -> list[tuple[float, float]]:
+        """Return the megabytes of the flow cache by its flows."""
+        return [
+            (
+                float(n),
+                self._row_by_key["flow_state", f"{n} flows: flow cache", "MB"][
+                    "ours"
+                ],
+            )
+            for n in flow_state.SIZES
+        ]
+
     def control_points(
         self, label: str, unit: str
     ) -> list[tuple[float, float]]:
@@ -235,6 +252,25 @@
             )
 
 
+@TABLES.register("flow state")
+def flows(rows: Rows) -> collections.abc.Iterator[tuple]:
+    """Fit the flow cache and give its size at the target."""
+    points = rows.flow_points()
+    line = fit(points)
+    yield ("flow cache", "MB")
+    for count, megabytes in points:
+        yield (f"{count:,.0f} flows", _number(megabytes))
+    share = OPEN_FLOWS / BALANCERS
+    yield (
+        f"fit: {line.slope * 1e6:.0f} bytes a flow, R²",
+        f"{line.r_squared:.3f}",
+    )
+    yield (
+        f"{share:,.0f} flows, 24 million spread over 1,500 balancers",
+        _number(line.intercept + line.slope * share),
+    )
+
+
 @TABLES.register("platform")
 def platform(rows: Rows) -> collections.abc.Iterator[tuple]:
     """Work out the load on the configuration service."""
@@ -253,14 +289,29 @@
     yield (
         "calls/s of all readers for the configuration",
         _number(worst * readers),
-        f"of {PLATFORM_CALLS_PER_S:,} calls/s",
+        "the line above times the readers",
+    )
+    changes = control.VM_CHANGES_A_DAY / control.DAY_S
+    per_reader = (
+        changes / (1 - math.exp(-changes * platform_reader.WATCH_WAIT_S))
+        + changes
     )
-    parts = control.VM_CHANGES_A_DAY / control.DAY_S
-    per_reader = 1 / 15 + parts
     yield (
-        "calls/s of all readers for the VM list, at most",
-        _number(per_reader * readers),
-        "index every 15 s, and one part for each VM change",
+        "calls/s of a reader for the VM list",
+        _number(per_reader),
+        "a watch of at most 30 s and one part for each VM change",
+    )
+    # The fleets of the bench watch a VM list that does not change.
+    both = worst + per_reader - 1 / (platform_reader.WATCH_WAIT_S + 1)
+    yield (
+        "calls/s of a reader for both",
+        _number(both),
+        f"bound 0.2 ({_verdict(both, config.READS_BOUND)})",
+    )
+    yield (
+        "calls/s of all readers for both",
+        _number(both * readers),
+        f"of {PLATFORM_CALLS_PER_S:,} calls/s",
     )
     fresh = REPLACED_A_DAY / control.DAY_S * (FAILURE_DOMAINS + 1)
     yield (
@@ -332,7 +383,7 @@
     yield (
         f"{FAILED_A_DAY} VMs fail",
         f"{FAILED_A_DAY * milliseconds / 1e3:.2f} s of processor a day",
-        f"{FAILED_A_DAY} x {control_world.CHILDREN} children reconnect",
+        f"at most {FAILED_A_DAY * control_world.CHILDREN} links reconnect",
         "second parent; helpers after 2 s; list update",
     )
     yield (
--- a/src/bramleypin/internal/membership/platform_reader.py
+++ b/src/bramleypin/internal/membership/platform_reader.py
@@ -19,9 +19,11 @@
 # shards at once; twice that lets a second change of everything through.
 READ_BURST = 130
 WATCH_WAIT_S = 30.0
-# The VM list lags anyway, and at the target size 4,000 changes a day would
-# otherwise take a reader over its share of calls.
-MEMBERS_INTERVAL_S = 15.0
+# A watch returns at once on a change. The pause before the next one joins
+# changes that come together, and is short because a leaving endpoint must get
+# no new work after 3 s.
+MEMBERS_INTERVAL_S = 1.0
+NO_MEMBERS_INTERVAL_S = 15.0
 RETRY_MIN_S = 2.5
 RETRY_MAX_S = 7.5
 # A shard that is newer than the manifest belongs to a revision that is just
--- a/src/bramleypin/internal/membership/sync.py
+++ b/src/bramleypin/internal/membership/sync.py
@@ -224,7 +224,7 @@
             except errors.PlatformKeyMissing:
                 # Without a VM list the process reads the platform itself.
                 self._members_known.set()
-                pause = platform_reader.MEMBERS_INTERVAL_S
+                pause = platform_reader.NO_MEMBERS_INTERVAL_S
             except errors.PlatformUnavailable:
                 pause = self._reader.retry_s()
             await anyio.sleep(pause)
