Test opening, datagram services and drained flows; release shed flows

Cause: a flow shed during a drain was still reported as held, so its caller came back to the same agent; datagram endpoints were asked for a CoAP health report. Change: a shed flow is released; datagram services are not asked; tests of both, of the home's choice end to end, and of the time at which a deadline is told.

--- a/src/bramleypin/internal/agent/endpoint.py
+++ b/src/bramleypin/internal/agent/endpoint.py
@@ -67,7 +67,11 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                await self._watch_health()
+                # Other protocols have no health report to ask for.
+                if self._admission.standing.is_datagram_service():
+                    await anyio.sleep(HEALTH_INTERVAL_S)
+                else:
+                    await self._watch_health()
 
     async def stop(self) -> None:
         """Close the channels."""
--- a/src/bramleypin/internal/agent/rules.py
+++ b/src/bramleypin/internal/agent/rules.py
@@ -183,6 +183,7 @@
     ) -> None:
         answer = runner_module.not_run(reason)
         self._close_unseen(flow.flow_id, arrival, answer)
+        self._runner.let_go(flow)
         self._answer(arrival, answer)
 
     def _close_unseen(
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -233,13 +233,18 @@
         The caller's next request then opens the flow anew, at an endpoint
         that has room.
         """
-        goes = flow.active == 1 and not flow.inbox
-        in_transfer = anyio.current_time() < flow.transfer_until_s
-        if goes and not in_transfer and not record.announced:
+        if not record.announced and self.let_go(flow, own=1):
             record.lets_go = True
-            self._release(flow)
         self.conclude(flow, record, answer)
 
+    def let_go(self, flow: flow_module.Flow, own: int = 0) -> bool:
+        """Release a flow that has no requests but ``own`` and no transfer."""
+        in_transfer = anyio.current_time() < flow.transfer_until_s
+        if flow.active > own or flow.inbox or in_transfer:
+            return False
+        self._release(flow)
+        return True
+
     def conclude(
         self,
         flow: flow_module.Flow,
--- a/tests/cover/test_agent_admission.py
+++ b/tests/cover/test_agent_admission.py
@@ -208,6 +208,9 @@
             for token in tokens:
                 answer = stage.sender.answers_by_token[token][0]
                 self.assertEqual(coap.CHANGED, answer.code)
+            stage.sender.probe(stage.rig, caller(7))
+            await anyio.sleep(0.01)
+            self.assertFalse(stage.sender.probe_answers[-1].holds)
             late = stage.sender.answers_by_token[b"late"][0]
             self.assertEqual(NOT_RUN, coap.outcome(late))
             self.assertEqual(0, stage.runs(b"late"))
@@ -217,6 +220,7 @@
     async def _late(self, stage, pin):
         await anyio.sleep(0.1)
         stage.send("POST", b"late", payload=b"late", pin=pin)
+        stage.send("GET", b"new", frame_caller=caller(7))
 
     @parameterized.parameterized.expand(
         [("by_configuration", False), ("by_the_vm_list", True)]
--- /dev/null
+++ b/tests/cover/test_agent_opening.py
@@ -0,0 +1,182 @@
+"""Opening of flows between agents, and flows of datagram services."""
+
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin.internal import address
+from bramleypin.internal.wire import coap
+from bramleypin.internal.wire import frames
+from bramleypin.standins import agent_rig
+from bramleypin.standins import endpoint as endpoint_module
+from bramleypin.standins import virtual_network
+from bramleypin.standins import virtual_process
+from tests import agent_play
+
+OTHER_CALLER = address.Address("10.8.0.9", 41_000)
+
+
+def play_pair(scenario, **fields):
+    """Run ``scenario(home, other, sender)`` with two agents."""
+
+    async def main():
+        network = virtual_network.VirtualNetwork(5)
+        documents = [agent_rig.endpoint_document(n, **fields) for n in (1, 2)]
+        service = agent_rig.service_document(documents)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(network.run)
+            rigs = []
+            for document in documents:
+                profile = endpoint_module.Profile()
+                rig = agent_rig.Rig(
+                    network, document, profile, service=service
+                )
+                rig.start_endpoint(tasks)
+                await rig.start_agent(tasks)
+                rigs.append(rig)
+            sender = agent_rig.Sender(network)
+            await sender.start(tasks)
+            await scenario(*rigs, sender)
+            tasks.cancel_scope.cancel()
+
+    virtual_network.run(main)
+
+
+def candidates(home, other, other_load=0.0):
+    """Return the candidates as a balancer offers them."""
+    return tuple(
+        frames.Candidate(
+            rig.data,
+            frames.State.READY,
+            load,
+            rig.kernel.get("identity").incarnation,
+        )
+        for rig, load in ((home, 0.0), (other, other_load))
+    )
+
+
+class TestOpening(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("the_less_loaded_agent", -1.0, None, True),
+            ("the_home_itself", 1.0, None, False),
+            ("no_agent_in_a_failure_domain_that_is_out", -1.0, "out", False),
+            ("no_leaving_agent", -1.0, "leaving", False),
+        ]
+    )
+    def test_a_new_flow_goes_to(self, _, load, change, to_other):
+        """Guards against new work where the home's view allows none."""
+
+        async def scenario(home, other, sender):
+            if change is not None:
+                self._change(home, change)
+            data = agent_rig.request("GET", b"tk", path="visits")
+            offered = candidates(home, other, load)
+            for _ in range(2):
+                sender.forward(home, data, open=True, candidates=offered)
+                answer = await sender.answer(b"tk", 1.0)
+                self.assertEqual(coap.CONTENT, answer.code)
+            owner = other if to_other else home
+            self.assertEqual(
+                {owner.data}, {item.owner for item in sender.answer_frames}
+            )
+
+        play_pair(scenario)
+
+    def _change(self, home, change):
+        state = "leaving" if change == "leaving" else "in_service"
+        second = agent_rig.endpoint_document(2, "waco", state=state)
+        service = agent_rig.service_document(
+            (agent_rig.endpoint_document(1), second)
+        )
+        out = ("waco",) if change == "out" else ()
+        agent_rig.apply(home.kernel, 2, service, out)
+
+    def test_a_chosen_agent_that_restarted_is_chosen_anew(self):
+        """Guards against a home that sends to a dead incarnation for long."""
+
+        async def scenario(home, other, sender):
+            data = agent_rig.request("GET", b"tk", path="visits")
+            stale = candidates(home, other, -1.0)
+            stale = (stale[0], frames.Candidate(*self._stale(stale[1])))
+            sender.forward(home, data, open=True, candidates=stale)
+            await anyio.sleep(0.1)
+            self.assertEqual(0, len(sender.answers))
+            sender.forward(home, data, open=True)
+            answer = await sender.answer(b"tk", 1.0)
+            self.assertEqual(coap.CONTENT, answer.code)
+
+        play_pair(scenario)
+
+    def _stale(self, item):
+        return item.data, item.state, item.load, item.incarnation + 1
+
+
+class _Echoes:
+    """An endpoint of a datagram service that returns what it gets."""
+
+    def __init__(self, process):
+        self.process = process
+        self.sources = set()
+
+    async def run(self):
+        """Return datagrams with their number."""
+        process = self.process
+        at = address.Address(process.host, agent_rig.ENDPOINT_PORT)
+        port = await process.open_datagram_port(at)
+        while True:
+            data, source = await port.receive()
+            self.sources.add(source)
+            port.send(b"re: " + data, source)
+
+
+class TestDatagramService(unittest.TestCase):
+    def test_each_flow_has_a_port_of_its_own(self):
+        """Guards against answers that reach another caller."""
+
+        async def scenario(stage):
+            stage.rig.endpoint.crash()
+            await anyio.sleep(0.1)
+            host = stage.rig.data.host
+            echoes = _Echoes(stage.rig.network.process("echoes", host))
+            virtual_process.spawn(stage.tasks, echoes.process, echoes.run)
+            await anyio.sleep(0.1)
+            for caller, data in (
+                (agent_rig.CALLER, b"\x00one"),
+                (OTHER_CALLER, b"\xfftwo"),
+                (agent_rig.CALLER, b"three"),
+            ):
+                stage.sender.forward(stage.rig, data, caller=caller)
+                await anyio.sleep(0.1)
+            found = [
+                (frame.caller, payload)
+                for frame, payload in zip(
+                    stage.sender.answer_frames,
+                    stage.sender.payloads,
+                    strict=True,
+                )
+            ]
+            self.assertEqual(
+                [
+                    (agent_rig.CALLER, b"re: \x00one"),
+                    (OTHER_CALLER, b"re: \xfftwo"),
+                    (agent_rig.CALLER, b"re: three"),
+                ],
+                found,
+            )
+            self.assertEqual(2, len(echoes.sources))
+            await anyio.sleep(400.0)
+            flows = stage.rig.kernel.get("flows")
+            self.assertFalse(
+                flows.holds((agent_rig.SERVICE_ADDRESS, agent_rig.CALLER))
+            )
+
+        document = agent_rig.endpoint_document(1)
+        service = agent_rig.service_document((document,), protocol="datagram")
+        agent_play.play(
+            scenario,
+            document=document,
+            rig_service=service,
+            restart_s=None,
+        )
--- a/tests/cover/test_agent_requests.py
+++ b/tests/cover/test_agent_requests.py
@@ -385,7 +385,9 @@
                 "frame_elapsed_us": elapsed_ms * 1_000,
             }
             stage.send("POST", token, **options)
-            answer = await stage.sender.answer(token, 10.0)
+            left_s = max(0.0, (deadline_ms - elapsed_ms) / 1_000)
+            # 0.1 s is more than the latency of the answer.
+            answer = await stage.sender.answer(token, left_s + 0.1)
             self.assertEqual(want, coap.outcome(answer))
             await anyio.sleep(3.0)
             stage.send("POST", token, **{**options, "frame_elapsed_us": 0})
