--- a/src/bramleypin/matrix/broken.py
+++ b/src/bramleypin/matrix/broken.py
@@ -39,7 +39,6 @@
 @registries.variant(
     "drop-the-ticket",
     "P7",
-    "datagram-duplicated@closing",
     "datagram-lost@running",
 )
 def drop_the_ticket() -> Undo:
@@ -50,7 +49,6 @@
 @registries.variant(
     "forget-the-record",
     "P7",
-    "datagram-duplicated@closing",
     "datagram-lost@running",
 )
 def forget_the_record() -> Undo:
--- a/src/bramleypin/matrix/checker.py
+++ b/src/bramleypin/matrix/checker.py
@@ -33,7 +33,7 @@
 # to requests that a balancer there has passed on are not among them, nor are
 # an agent's questions to the endpoint on its own VM.
 WORK = ("Forward", "Probe", "request")
-COLD = ("cold", "endpoint-crashes", "agent-restarts")
+COLD = ("cold", "endpoint-crashes", "agent-restarts", "replaced")
 
 Journal = journal_module.Journal
 Call = journal_module.Call
