--- a/src/bramleypin/bench/capacity.py
+++ b/src/bramleypin/bench/capacity.py
@@ -8,17 +8,15 @@
 """
 
 import collections.abc
-import dataclasses
-import json
 import math
 import pathlib
 import sys
 import typing
 
+from bramleypin.bench import capacity_rows
 from bramleypin.bench import config
 from bramleypin.bench import control
 from bramleypin.bench import control_world
-from bramleypin.bench import flow_state
 from bramleypin.internal.membership import lease
 from bramleypin.internal.membership import platform_reader
 from bramleypin.internal.membership import roster
@@ -43,89 +41,12 @@
 _BEGIN = "<!-- table: {} -->"
 _END = "<!-- end -->"
 
-Table = typing.Callable[["Rows"], collections.abc.Iterable[tuple]]
+Table = typing.Callable[[capacity_rows.Rows], collections.abc.Iterable[tuple]]
 
 TABLES: registry.Registry[Table] = registry.Registry("table")
 
 
-@dataclasses.dataclass(frozen=True)
-class Fit:
-    """A straight line through measured points, by least squares."""
-
-    intercept: float
-    slope: float
-    r_squared: float
-
-
-def fit(points: list[tuple[float, float]]) -> Fit:
-    """Fit a line; ``r_squared`` is 1 when all points lie on it."""
-    count = len(points)
-    mean_x = sum(x for x, _ in points) / count
-    mean_y = sum(y for _, y in points) / count
-    spread_x = sum((x - mean_x) ** 2 for x, _ in points)
-    spread_y = sum((y - mean_y) ** 2 for _, y in points)
-    both = sum((x - mean_x) * (y - mean_y) for x, y in points)
-    slope = both / spread_x
-    r_squared = both**2 / (spread_x * spread_y) if spread_y else 1.0
-    return Fit(mean_y - slope * mean_x, slope, r_squared)
-
-
-class Rows:
-    """Rows of the benches ``config``, ``control`` and ``flow_state``."""
-
-    def __init__(self, lines: collections.abc.Iterable[str]):
-        self._row_by_key = {}
-        for line in lines:
-            row = json.loads(line)
-            key = (row["bench"], row["case"], row["unit"])
-            self._row_by_key[key] = row
-
-    def control(self, size: str, label: str, unit: str) -> float:
-        """Return a figure of the bench control."""
-        case = f"{size} of the target: {label}"
-        return self._row_by_key["control", case, unit]["ours"]
-
-    def config(self, count: int, label: str, unit: str) -> dict:
-        """Return a row of the bench config."""
-        return self._row_by_key["config", f"{count} processes: {label}", unit]
-
-    def flow_points(self) -> list[tuple[float, float]]:
-        """Return the megabytes of the flow cache by its flows."""
-        return [
-            (
-                float(n),
-                self._row_by_key["flow_state", f"{n} flows: flow cache", "MB"][
-                    "ours"
-                ],
-            )
-            for n in flow_state.SIZES
-        ]
-
-    def control_points(
-        self, label: str, unit: str
-    ) -> list[tuple[float, float]]:
-        """Return a figure by the number of hosts behind the services."""
-        return [
-            (float(size.hosts), self.control(name, label, unit))
-            for name, size in control.SIZES.items()
-        ]
-
-
-def _number(value: float) -> str:
-    if value and abs(value) < 0.001:
-        return f"{value:.2e}"
-    if abs(value) >= 1_000:
-        return f"{value:,.0f}"
-    return f"{value:.3g}"
-
-
-def _verdict(value: float, bound: float | None) -> str:
-    if bound is None:
-        return ""
-    return "met" if value <= bound else "MISSED"
-
-
-def _whole_events(rows: Rows) -> dict[str, tuple[float, float]]:
+def _whole_events(rows: capacity_rows.Rows) -> dict[str, tuple[float, float]]:
     """Return milliseconds and bytes of each event at the target's size."""
     return {
         label: (
@@ -137,7 +58,7 @@
 
 
 @TABLES.register("slopes")
-def slopes(rows: Rows) -> collections.abc.Iterator[tuple]:
+def slopes(rows: capacity_rows.Rows) -> collections.abc.Iterator[tuple]:
     """Fit every figure of the bench control over its four sizes."""
     yield ("figure", "unit", *control.SIZES, "fit over hosts", "R²", "bound")
     cells = (
@@ -160,22 +81,25 @@
     )
     for label, unit, bound in cells:
         points = rows.control_points(label, unit)
-        line = fit(points)
-        text = f"{_number(line.intercept)} + {_number(line.slope)} x"
+        line = capacity_rows.fit(points)
+        intercept = capacity_rows.number(line.intercept)
+        text = f"{intercept} + {capacity_rows.number(line.slope)} x"
         last = points[-1][1]
-        verdict = _verdict(last, bound)
+        verdict = capacity_rows.verdict(last, bound)
         yield (
             label,
             unit,
-            *(_number(y) for _, y in points),
+            *(capacity_rows.number(y) for _, y in points),
             text,
             f"{line.r_squared:.3f}",
-            f"{_number(bound)} ({verdict})" if bound else "",
+            f"{capacity_rows.number(bound)} ({verdict})" if bound else "",
         )
 
 
 @TABLES.register("spread by size")
-def spread_by_size(rows: Rows) -> collections.abc.Iterator[tuple]:
+def spread_by_size(
+    rows: capacity_rows.Rows,
+) -> collections.abc.Iterator[tuple]:
     """List the rows of the bench config."""
     yield ("figure", "unit", *config.SIZES, "baseline at the largest", "bound")
     cells = (
@@ -189,18 +113,22 @@
         found = [rows.config(count, label, unit) for count in config.SIZES]
         worst = max(row["ours"] for row in found)
         bound = found[-1]["bound"]
-        text = f"{bound:g} ({_verdict(worst, bound)})" if bound else ""
+        text = (
+            f"{bound:g} ({capacity_rows.verdict(worst, bound)})"
+            if bound
+            else ""
+        )
         yield (
             label,
             unit,
-            *(_number(row["ours"]) for row in found),
-            _number(found[-1]["baseline"]),
+            *(capacity_rows.number(row["ours"]) for row in found),
+            capacity_rows.number(found[-1]["baseline"]),
             text,
         )
 
 
 @TABLES.register("places")
-def places(rows: Rows) -> collections.abc.Iterator[tuple]:
+def places(rows: capacity_rows.Rows) -> collections.abc.Iterator[tuple]:
     """Work out the control load of a leaf, a parent and the worst place."""
     yield (
         "role and place",
@@ -244,22 +172,22 @@
             yield (
                 f"{role}, {place}",
                 children,
-                _number(asked),
-                _number(answered),
-                _number(messages),
-                _number(moved),
-                _number(busy),
+                capacity_rows.number(asked),
+                capacity_rows.number(answered),
+                capacity_rows.number(messages),
+                capacity_rows.number(moved),
+                capacity_rows.number(busy),
             )
 
 
 @TABLES.register("flow state")
-def flows(rows: Rows) -> collections.abc.Iterator[tuple]:
+def flows(rows: capacity_rows.Rows) -> collections.abc.Iterator[tuple]:
     """Fit the flow cache and give its size at the target."""
     points = rows.flow_points()
-    line = fit(points)
+    line = capacity_rows.fit(points)
     yield ("flow cache", "MB")
     for count, megabytes in points:
-        yield (f"{count:,.0f} flows", _number(megabytes))
+        yield (f"{count:,.0f} flows", capacity_rows.number(megabytes))
     share = OPEN_FLOWS / BALANCERS
     yield (
         f"fit: {line.slope * 1e6:.0f} bytes a flow, R²",
@@ -267,12 +195,12 @@
     )
     yield (
         f"{share:,.0f} flows, 24 million spread over 1,500 balancers",
-        _number(line.intercept + line.slope * share),
+        capacity_rows.number(line.intercept + line.slope * share),
     )
 
 
 @TABLES.register("platform")
-def platform(rows: Rows) -> collections.abc.Iterator[tuple]:
+def platform(rows: capacity_rows.Rows) -> collections.abc.Iterator[tuple]:
     """Work out the load on the configuration service."""
     yield ("quantity", "value", "from")
     readers = FAILURE_DOMAINS * roster.READERS_PER_DOMAIN * roster.ORDERS
@@ -283,12 +211,12 @@
     yield ("readers", readers, "9 failure domains, 2 orders, 3 each")
     yield (
         "calls/s of a reader",
-        _number(worst),
+        capacity_rows.number(worst),
         "row config, busiest process, at 3,900 changes a day",
     )
     yield (
         "calls/s of all readers for the configuration",
-        _number(worst * readers),
+        capacity_rows.number(worst * readers),
         "the line above times the readers",
     )
     changes = control.VM_CHANGES_A_DAY / control.DAY_S
@@ -298,31 +226,31 @@
     )
     yield (
         "calls/s of a reader for the VM list",
-        _number(per_reader),
+        capacity_rows.number(per_reader),
         "a watch of at most 30 s and one part for each VM change",
     )
     # The fleets of the bench watch a VM list that does not change.
     both = worst + per_reader - 1 / (platform_reader.WATCH_WAIT_S + 1)
     yield (
         "calls/s of a reader for both",
-        _number(both),
-        f"bound 0.2 ({_verdict(both, config.READS_BOUND)})",
+        capacity_rows.number(both),
+        f"bound 0.2 ({capacity_rows.verdict(both, config.READS_BOUND)})",
     )
     yield (
         "calls/s of all readers for both",
-        _number(both * readers),
+        capacity_rows.number(both * readers),
         f"of {PLATFORM_CALLS_PER_S:,} calls/s",
     )
     fresh = REPLACED_A_DAY / control.DAY_S * (FAILURE_DOMAINS + 1)
     yield (
         "calls/s of new processes",
-        _number(fresh),
+        capacity_rows.number(fresh),
         "VM index and 9 parts each; the view comes from a peer",
     )
     start_s = PROCESSES * (FAILURE_DOMAINS + 1) / PLATFORM_CALLS_PER_S
     yield (
         "s to start all processes at once",
-        _number(start_s),
+        capacity_rows.number(start_s),
         "8,900 processes, 10 calls each",
     )
     polling = PROCESSES
@@ -343,7 +271,7 @@
 
 
 @TABLES.register("spread")
-def spread(rows: Rows) -> collections.abc.Iterator[tuple]:
+def spread(rows: capacity_rows.Rows) -> collections.abc.Iterator[tuple]:
     """Work out the time until a change is in force at the target."""
     yield ("step", "s", "from")
     members = -(-PROCESSES // FAILURE_DOMAINS)
@@ -351,28 +279,33 @@
     read_s = 2 * PLATFORM_ANSWER_S
     yield (
         "watch answers, shard is read",
-        _number(read_s),
+        capacity_rows.number(read_s),
         "two calls of 3 ms each (assumed; the platform answers in ms)",
     )
     depth = tree_depth(members)
     hops_s = depth * (hop_s + HOP_LATENCY_S)
+    hop_text = capacity_rows.number(hop_s)
     yield (
         f"{depth} hops down a tree of {members}",
-        _number(hops_s),
-        f"row control, hop {_number(hop_s)} s each, and 1 ms latency",
+        capacity_rows.number(hops_s),
+        f"row control, hop {hop_text} s each, and 1 ms latency",
     )
     total_s = read_s + hops_s
-    verdict = _verdict(total_s, SPREAD_BOUND_S)
-    yield ("in force everywhere", _number(total_s), f"bound 15 s ({verdict})")
+    verdict = capacity_rows.verdict(total_s, SPREAD_BOUND_S)
+    yield (
+        "in force everywhere",
+        capacity_rows.number(total_s),
+        f"bound 15 s ({verdict})",
+    )
     yield (
         "after an outage, at most",
-        _number(total_s + 7.5),
+        capacity_rows.number(total_s + 7.5),
         "readers retry after 2.5 s to 7.5 s",
     )
 
 
 @TABLES.register("day")
-def day(rows: Rows) -> collections.abc.Iterator[tuple]:
+def day(rows: capacity_rows.Rows) -> collections.abc.Iterator[tuple]:
     """Work out what the stated failures cost."""
     yield ("failure", "a process pays", "fleet-wide", "mechanism")
     milliseconds, moved = _whole_events(rows)["VM change"]
@@ -426,7 +359,7 @@
     return "\n".join(lines)
 
 
-def update(page: str, rows: Rows) -> str:
+def update(page: str, rows: capacity_rows.Rows) -> str:
     """Return the page with every table between its marks made anew."""
     for name, table in TABLES.entry_by_name.items():
         mark = _BEGIN.format(name)
@@ -442,7 +375,7 @@
     """Rewrite the tables of a page from a file of rows."""
     lines = pathlib.Path(rows_path).read_text(encoding="utf-8").splitlines()
     page = pathlib.Path(page_path)
-    text = update(page.read_text(encoding="utf-8"), Rows(lines))
+    text = update(page.read_text(encoding="utf-8"), capacity_rows.Rows(lines))
     page.write_text(text, encoding="utf-8")
 
 
--- a/tests/cover/test_capacity.py
+++ b/tests/cover/test_capacity.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bramleypin.bench import capacity
+from bramleypin.bench import capacity_rows
 
 DOCS = pathlib.Path(__file__).resolve().parents[2] / "docs"
 
@@ -13,12 +14,12 @@
         """Guards against figures on the page that no run has produced."""
         page = (DOCS / "CAPACITY.md").read_text(encoding="utf-8")
         rows = (DOCS / "capacity.jsonl").read_text(encoding="utf-8")
-        made = capacity.update(page, capacity.Rows(rows.splitlines()))
+        made = capacity.update(page, capacity_rows.Rows(rows.splitlines()))
         self.assertEqual(page, made)
 
     def test_a_line_is_fitted_through_its_points(self):
         """Guards against wrong slopes on the page."""
-        line = capacity.fit([(x, 3.0 + 0.5 * x) for x in range(1, 5)])
+        line = capacity_rows.fit([(x, 3.0 + 0.5 * x) for x in range(1, 5)])
         self.assertAlmostEqual(3.0, line.intercept)
         self.assertAlmostEqual(0.5, line.slope)
         self.assertAlmostEqual(1.0, line.r_squared)
