--- a/src/bramleypin/standins/endpoint.py
+++ b/src/bramleypin/standins/endpoint.py
@@ -6,10 +6,8 @@
 """
 
 import collections
-import dataclasses
 import hashlib
 import random as random_module
-import typing
 
 import anyio
 import anyio.abc
@@ -19,6 +17,7 @@
 from bramleypin.internal import address
 from bramleypin.internal.net import environment
 from bramleypin.internal.wire import coap
+from bramleypin.standins import endpoint_profile
 
 REQUEST_TAG = 292
 BLOCK_BYTES = 1024
@@ -33,62 +32,8 @@
 HEALTH_PATH = (".well-known", "bramleypin")
 
 
-@dataclasses.dataclass
-class Profile:
-    """How an endpoint behaves; times are in seconds.
-
-    A request takes ``service_time_s / speed``, exponentially distributed if
-    ``exponential`` is set, and ``cold_factor`` times that while cold. While
-    cold, more requests than the ramp allows make it crash, and it restarts
-    ``restart_s`` later. Its health report shows the state of ``lag_s`` ago,
-    changed by ``lie`` if that is set; ``has_report`` turns it off.
-    """
-
-    slots: int = 5
-    cold_slots: int = 1
-    ramp_s: float = 0.0
-    service_time_s: float = 0.02
-    speed: float = 1.0
-    exponential: bool = False
-    cold_factor: float = 1.0
-    queue_limit: int = 0
-    restart_s: float | None = 1.0
-    block_time_s: float = 0.001
-    lag_s: float = 0.0
-    lie: typing.Callable[[dict], dict] | None = None
-    has_report: bool = True
-    knows_cancel: bool = True
-
-
-@dataclasses.dataclass
-class Execution:
-    """One run of a request; ``finished_s`` is ``None`` until it ends.
-
-    ``key`` is the request's body, or its path when it has none.
-    """
-
-    method: str
-    path: str
-    key: bytes
-    instance: int
-    started_s: float
-    finished_s: float | None = None
-
-
-@dataclasses.dataclass(eq=False)
-class _Job:
-    message: coap.Message
-    source: address.Address
-    key: bytes
-    started: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    cancelled: bool = False
-    acknowledged: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class _Seen:
-    time_s: float
-    report: dict
+Profile = endpoint_profile.Profile
+Execution = endpoint_profile.Execution
 
 
 class EndpointStandin:
@@ -122,8 +67,10 @@
 
     def _reset(self) -> None:
         self.running = 0
-        self._waiting: collections.deque[_Job] = collections.deque()
-        self._job_by_token: dict[tuple, _Job] = {}
+        self._waiting: collections.deque[endpoint_profile.Job] = (
+            collections.deque()
+        )
+        self._job_by_token: dict[tuple, endpoint_profile.Job] = {}
         self._reply_by_mid: collections.OrderedDict[tuple, bytes] = (
             collections.OrderedDict()
         )
@@ -146,7 +93,9 @@
     async def _serve_instance(self) -> None:
         self.instance = self._random.getrandbits(32)
         self._started_s = anyio.current_time()
-        self._history: collections.deque[_Seen] = collections.deque()
+        self._history: collections.deque[endpoint_profile.Seen] = (
+            collections.deque()
+        )
         self._reset()
         self._port = await self._environment.open_datagram_port(self._address)
         try:
@@ -268,7 +217,7 @@
             "running": self.running,
             "state": "cold" if self.is_cold() else "ready",
         }
-        self._history.append(_Seen(now, current))
+        self._history.append(endpoint_profile.Seen(now, current))
         while (
             len(self._history) > 1
             and self._history[1].time_s <= now - self.profile.lag_s
@@ -312,7 +261,7 @@
             self._reply(message, source, coap.SERVICE_UNAVAILABLE)
             return
         key = body or "/".join(message.opt.uri_path).encode()
-        job = _Job(message, source, key)
+        job = endpoint_profile.Job(message, source, key)
         self._job_by_token[(source, message.token)] = job
         if self.running < self.profile.slots:
             self.running += 1
@@ -345,7 +294,7 @@
         self._send(message, source, answer)
         return None
 
-    async def _work(self, job: _Job) -> None:
+    async def _work(self, job: endpoint_profile.Job) -> None:
         await job.started.wait()
         if job.cancelled:
             return
@@ -358,7 +307,7 @@
     def _is_too_late(self, message: coap.Message) -> bool:
         return coap.uint_option(message, coap.DEADLINE) == 0
 
-    async def _execute(self, job: _Job) -> None:
+    async def _execute(self, job: endpoint_profile.Job) -> None:
         message = job.message
         now = anyio.current_time()
         execution = Execution(
@@ -392,13 +341,13 @@
             return self._random.expovariate(1 / mean_s)
         return mean_s
 
-    def _acknowledge(self, job: _Job) -> None:
+    def _acknowledge(self, job: endpoint_profile.Job) -> None:
         if job.message.mtype == coap.CON:
             job.acknowledged = True
             empty = coap.message(coap.ACK, 0, job.message.mid)
             self._send(job.message, job.source, empty)
 
-    def _respond(self, job: _Job) -> None:
+    def _respond(self, job: endpoint_profile.Job) -> None:
         answer = self._content(job)
         if not job.acknowledged:
             self._send(job.message, job.source, answer)
@@ -422,7 +371,7 @@
             wait_s *= 2
         self._confirmed_by_mid.pop(answer.mid, None)
 
-    def _content(self, job: _Job) -> coap.Message:
+    def _content(self, job: endpoint_profile.Job) -> coap.Message:
         message = job.message
         if message.code != coap.code_number("0.01"):
             return self._answer(message, coap.CHANGED, job.key[:64])
@@ -439,7 +388,7 @@
             answer.opt.block2 = (number, more, _BLOCK_EXPONENT)
         return answer
 
-    def _finish(self, job: _Job) -> None:
+    def _finish(self, job: endpoint_profile.Job) -> None:
         self._job_by_token.pop((job.source, job.message.token), None)
         self.running -= 1
         while self._waiting and self.running < self.profile.slots:
--- /dev/null
+++ b/src/bramleypin/standins/endpoint_profile.py
@@ -0,0 +1,71 @@
+"""How the endpoint stand-in behaves, and what it logs."""
+
+import dataclasses
+import typing
+
+import anyio
+
+from bramleypin.internal import address
+from bramleypin.internal.wire import coap
+
+
+@dataclasses.dataclass
+class Profile:
+    """How an endpoint behaves; times are in seconds.
+
+    A request takes ``service_time_s / speed``, exponentially distributed if
+    ``exponential`` is set, and ``cold_factor`` times that while cold. While
+    cold, more requests than the ramp allows make it crash, and it restarts
+    ``restart_s`` later. Its health report shows the state of ``lag_s`` ago,
+    changed by ``lie`` if that is set; ``has_report`` turns it off.
+    """
+
+    slots: int = 5
+    cold_slots: int = 1
+    ramp_s: float = 0.0
+    service_time_s: float = 0.02
+    speed: float = 1.0
+    exponential: bool = False
+    cold_factor: float = 1.0
+    queue_limit: int = 0
+    restart_s: float | None = 1.0
+    block_time_s: float = 0.001
+    lag_s: float = 0.0
+    lie: typing.Callable[[dict], dict] | None = None
+    has_report: bool = True
+    knows_cancel: bool = True
+
+
+@dataclasses.dataclass
+class Execution:
+    """One run of a request; ``finished_s`` is ``None`` until it ends.
+
+    ``key`` is the request's body, or its path when it has none.
+    """
+
+    method: str
+    path: str
+    key: bytes
+    instance: int
+    started_s: float
+    finished_s: float | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class Job:
+    """A request at the endpoint, waiting or running."""
+
+    message: coap.Message
+    source: address.Address
+    key: bytes
+    started: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    cancelled: bool = False
+    acknowledged: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Seen:
+    """A health report and when it was true."""
+
+    time_s: float
+    report: dict
