Offer loads that frames allow in the tests of opening

Cause: frames now refuse negative loads, and these tests offered one to make the other agent the least loaded. Change: two of the home's slots are busy instead.

--- a/tests/cover/test_agent_opening.py
+++ b/tests/cover/test_agent_opening.py
@@ -37,6 +37,8 @@
                 rigs.append(rig)
             sender = agent_rig.Sender(network)
             await sender.start(tasks)
+            # Two of the home's five slots are busy.
+            rigs[0].kernel.get("admission").running = 2
             await scenario(*rigs, sender)
             tasks.cancel_scope.cancel()
 
@@ -59,10 +61,10 @@
 class TestOpening(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
-            ("the_less_loaded_agent", -1.0, None, True),
+            ("the_less_loaded_agent", 0.1, None, True),
             ("the_home_itself", 1.0, None, False),
-            ("no_agent_in_a_failure_domain_that_is_out", -1.0, "out", False),
-            ("no_leaving_agent", -1.0, "leaving", False),
+            ("no_agent_in_a_failure_domain_that_is_out", 0.1, "out", False),
+            ("no_leaving_agent", 0.1, "leaving", False),
         ]
     )
     def test_a_new_flow_goes_to(self, _, load, change, to_other):
@@ -98,7 +100,7 @@
 
         async def scenario(home, other, sender):
             data = agent_rig.request("GET", b"tk", path="visits")
-            stale = candidates(home, other, -1.0)
+            stale = candidates(home, other, 0.1)
             stale = (stale[0], frames.Candidate(*self._stale(stale[1])))
             sender.forward(home, data, open=True, candidates=stale)
             await anyio.sleep(0.1)
