Let a drain last until lost answers can be repeated; move callers freely

Cause: a draining agent exited as soon as its last answer was sent. An answer sent with its ACK is confirmed by nobody, so a lost one met the next incarnation and became 'unknown'. Callers that a drain turned away spent the retry budget, and some were refused; their other requests made the draining agent claim the flow again. Change: the drain goes on for 10 s after the last conclusion, which covers two lost answers (RFC 7252, section 4.8). 'Not run' with Max-Age 0 means that the endpoint is leaving; the client repeats it up to 4 times a call without budget. A draining agent claims a CoAP flow in a probe only while a block-wise transfer is under way.

--- a/src/bramleypin/client.py
+++ b/src/bramleypin/client.py
@@ -31,6 +31,10 @@
 BLOCK_TIMEOUT_S = 25.0
 MAX_ECHO_ROUNDS = 4
 
+# Every balancer may still know the old owner of a flow that is moved, and
+# forgets it when the answer "not run" passes through.
+FREE_MOVES = 4
+
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 5.0
 
@@ -52,11 +56,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request was certainly not run; it may be sent again."""
+    """The request was certainly not run; it may be sent again.
+
+    ``moved`` says that its endpoint is leaving and another one has room.
+    """
 
     reason: str
     retry_after_s: float = 0.0
     round_trips: int = 1
+    moved: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +98,7 @@
     idempotent: bool
     round_trips: int = 0
     retries: int = 0
+    moves: int = 0
     may_have_run: bool = False
 
 
@@ -183,12 +192,24 @@
         wait_s = after_s + self._random.uniform(0.0, limit_s)
         if anyio.current_time() + wait_s >= call.deadline_s:
             return False
-        if not self.budget.take():
+        if not self._is_free(call, result) and not self.budget.take():
             return False
         call.retries += 1
         await anyio.sleep(wait_s)
         return True
 
+    def _is_free(self, call: _Call, result: Result) -> bool:
+        """Tell whether a retry costs no budget, as moves of a call do.
+
+        The budget guards an overloaded service. A burst of callers that a
+        planned drain moves at once spent it, and some were refused.
+        """
+        moved = isinstance(result, NotRun) and result.moved
+        if not moved or call.moves >= FREE_MOVES:
+            return False
+        call.moves += 1
+        return True
+
     async def _transfer(self, call: _Call, payload: bytes) -> Result:
         if len(payload) > BLOCK_BYTES:
             return await self._send_blocks(call, payload)
@@ -258,7 +279,8 @@
         reason = answer.payload.decode("utf-8", "replace")
         outcome = coap.outcome(answer)
         if outcome is coap.Outcome.NOT_RUN:
-            return NotRun(reason, answer.opt.max_age or 0, trips)
+            wait_s = answer.opt.max_age
+            return NotRun(reason, wait_s or 0, trips, moved=wait_s == 0)
         if outcome is coap.Outcome.UNKNOWN:
             return Unknown(reason, trips)
         if outcome is coap.Outcome.INVALID:
--- a/src/bramleypin/internal/agent/flows.py
+++ b/src/bramleypin/internal/agent/flows.py
@@ -129,16 +129,36 @@
                 self._sweep()
 
     async def drain(self) -> None:
-        """Admit nothing new; wait until the requests in flight have ended."""
+        """Admit nothing new; wait until the requests in flight have ended.
+
+        An answer sent with its ACK is confirmed by nobody. So the drain goes
+        on until the caller of a lost answer could have asked again.
+        """
         self._admission.draining = True
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
-            while any(flow.is_busy() for flow in self._flow_by_id.values()):
+            while self._has_work() or self.replies.is_in_doubt():
                 await anyio.sleep(DRAIN_POLL_S)
 
+    def _has_work(self) -> bool:
+        return any(flow.is_busy() for flow in self._flow_by_id.values())
+
     def holds(self, key: flow_module.Key) -> bool:
         """Tell whether this agent holds a flow."""
         return key in self._flow_by_key
 
+    def keeps(self, key: flow_module.Key) -> bool:
+        """Tell whether new requests of a flow without a pin belong here.
+
+        A draining agent turns them away, so a caller that has been turned
+        away must not be sent here again because of its other requests.
+        """
+        flow = self._flow_by_key.get(key)
+        if flow is None or not self._admission.draining:
+            return flow is not None
+        if self._admission.standing.is_datagram_service():
+            return True
+        return anyio.current_time() < flow.transfer_until_s
+
     def state(self) -> typing.Any:
         """Return how this agent receives new flows."""
         return self._admission.state(flows_full=not self._has_room())
--- a/src/bramleypin/internal/agent/receiver.py
+++ b/src/bramleypin/internal/agent/receiver.py
@@ -12,6 +12,7 @@
 from bramleypin.internal.agent import identity as identity_module
 from bramleypin.internal.agent import opening
 from bramleypin.internal.agent import pauses
+from bramleypin.internal.agent import runner as runner_module
 from bramleypin.internal.agent import standing as standing_module
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
@@ -202,7 +203,7 @@
         self._compare_revision(frame.revision, sender)
         answer = frames.ProbeAnswer(
             probe_id=frame.probe_id,
-            holds=self._flows.holds((frame.service_address, frame.caller)),
+            holds=self._flows.keeps((frame.service_address, frame.caller)),
             state=self._flows.state(),
             load=self._admission.load(),
             revision=self._views.view.revision,
@@ -295,15 +296,24 @@
         elif self._flows.state() in (frames.State.DRAINING, frames.State.OUT):
             # The sender's cache is old; without it the flow is opened anew.
             self._send_notice(frames.Reason.STALE_INCARNATION, sender)
-            self._turn_away(arrival)
+            self._turn_away(
+                arrival,
+                "the endpoint is leaving",
+                runner_module.MOVED_AFTER_S,
+            )
         else:
             self._flows.deliver(arrival)
 
-    def _turn_away(self, arrival: flow_module.Arrival) -> None:
+    def _turn_away(
+        self,
+        arrival: flow_module.Arrival,
+        reason: str = "no endpoint is free; try later",
+        max_age_s: int = runner_module.RETRY_AFTER_S,
+    ) -> None:
         if arrival.message is None:
             raise errors.InvalidFrame("not_admitting")
         self._trace.record(arrival.flow_text, "refused", "not_admitting")
-        self._flows.rules.refuse(0, arrival, "no endpoint is free; try later")
+        self._flows.rules.refuse(0, arrival, reason, max_age_s)
 
     def _decide(self, arrival: flow_module.Arrival) -> None:
         """Choose the endpoint of a new flow, as its home.
--- a/src/bramleypin/internal/agent/replies.py
+++ b/src/bramleypin/internal/agent/replies.py
@@ -1,6 +1,7 @@
 """Answers to callers: piggybacked, separate, and repeated."""
 
 import collections
+import math
 
 import anyio
 
@@ -15,6 +16,10 @@
 
 ANNOUNCE_AFTER_S = 1.0
 
+# A caller whose answer was lost repeats the request after 2 to 3 s, and again
+# 4 to 6 s later (RFC 7252, section 4.8). This covers two lost answers.
+DOUBT_S = 10.0
+
 ANSWERS = metrics.declare(
     "agent.answers", "counter", "datagrams", "Answers sent to callers."
 )
@@ -53,6 +58,15 @@
             tuple[float, flow_module.Flow, requests.Record]
         ] = collections.deque()
         self._added = anyio.Event()
+        self._concluded_s = -math.inf
+
+    def note_conclusion(self) -> None:
+        """Remember that a request has just got its final answer."""
+        self._concluded_s = anyio.current_time()
+
+    def is_in_doubt(self) -> bool:
+        """Tell whether a caller may still ask for an answer that was lost."""
+        return anyio.current_time() - self._concluded_s < DOUBT_S
 
     def pin_of(self, flow: flow_module.Flow) -> bytes:
         """Return a pin for a flow, issued anew when the last one is old."""
--- a/src/bramleypin/internal/agent/rules.py
+++ b/src/bramleypin/internal/agent/rules.py
@@ -74,12 +74,16 @@
             self._begin(flow, arrival)
 
     def refuse(
-        self, flow_id: int, arrival: flow_module.Arrival, reason: str
+        self,
+        flow_id: int,
+        arrival: flow_module.Arrival,
+        reason: str,
+        max_age_s: int = runner_module.RETRY_AFTER_S,
     ) -> None:
         """Answer "not run" without a flow, and close the request."""
         message = arrival.message
         key = (flow_id, message.token)
-        answer = runner_module.not_run(reason)
+        answer = runner_module.not_run(reason, max_age_s)
         fresh = arrival.pin.status is _Status.FRESH
         if fresh and self._records.get(key) is None:
             self._close_unseen(flow_id, arrival, answer)
@@ -132,7 +136,7 @@
             self._answer(arrival, self._incomplete(), flow)
             return
         if self._admission.draining and not block:
-            self._shed(flow, arrival, record, "the endpoint is leaving")
+            self._move(flow, arrival, record, "the endpoint is leaving")
             return
         if not self._records.add(record):
             self._metrics.count(TABLE_FULL)
@@ -174,14 +178,14 @@
             "the transfer is not known here; start it again",
         )
 
-    def _shed(
+    def _move(
         self,
         flow: flow_module.Flow,
         arrival: flow_module.Arrival,
         record: requests.Record,
         reason: str,
     ) -> None:
-        answer = runner_module.not_run(reason)
+        answer = runner_module.not_run(reason, runner_module.MOVED_AFTER_S)
         self._close_unseen(flow.flow_id, arrival, answer)
         self._runner.let_go(flow)
         self._answer(arrival, answer)
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -13,6 +13,9 @@
 from bramleypin.internal.wire import coap
 
 RETRY_AFTER_S = 1
+# Max-Age of an answer "not run" that sends the caller elsewhere: the next
+# endpoint has room, so there is nothing to wait for.
+MOVED_AFTER_S = 0
 OBSERVE = 6
 
 _REASON_BY_VERDICT = {
@@ -254,6 +257,7 @@
         """Set and send a record's answer; its ticket is final already."""
         record.answer = answer
         record.running = None
+        self._replies.note_conclusion()
         outcome = coap.outcome(answer)
         name = _NAME_BY_OUTCOME.get(outcome, "answered")
         latency_s = anyio.current_time() - record.first_seen_s
