--- a/src/bramleypin/matrix/workload.py
+++ b/src/bramleypin/matrix/workload.py
@@ -30,6 +30,7 @@
 MOVE_AFTER_S = 8.0
 RETURN_AFTER_S = 16.0
 LEAVING = "scheduler-waco"
+NEWCOMER_INTERVAL_S = 0.2
 # Requests to the address that moves give up well before it does.
 MOVED_DEADLINE_S = 2.0
 
@@ -45,6 +46,7 @@
             for n in range(CALLERS)
         ]
         self.mover = caller_module.Caller(cell, "mover", "203.0.113.40")
+        self.newcomer = caller_module.Caller(cell, "newcomer", "203.0.113.41")
         self._weight = 1.0
         self._index_by_change = {"retired": math.inf, "moved": math.inf}
 
@@ -54,6 +56,7 @@
             tasks.start_soon(self._watched)
             tasks.start_soon(self._operators)
             tasks.start_soon(self._moved)
+            tasks.start_soon(self._newcomers)
             for item in self.others:
                 tasks.start_soon(self._background, item)
 
@@ -126,6 +129,20 @@
         while anyio.current_time() < start_s + DURATION_S:
             await self._call_moved("planstore", at)
 
+    async def _newcomers(self) -> None:
+        """Open new flows while an endpoint is leaving.
+
+        With fewer of them, endpoints that leave were chosen by nobody, and a
+        variant that ignores leaving endpoints went unseen.
+        """
+        await anyio.sleep(MOVE_AFTER_S)
+        end_s = anyio.current_time() + RETURN_AFTER_S - MOVE_AFTER_S
+        while anyio.current_time() < end_s:
+            flow = await self.newcomer.open_flow("scheduler")
+            await flow.call("GET", "sheet", 10, deadline_s=MOVED_DEADLINE_S)
+            await flow.close()
+            await anyio.sleep(NEWCOMER_INTERVAL_S)
+
     async def _wait_until_shown(self, what: str) -> None:
         platform = self.cell.deployment.platform
         while not platform.shows(self._index_by_change[what]):
