--- a/src/bramleypin/client.py
+++ b/src/bramleypin/client.py
@@ -14,6 +14,7 @@
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal import caller_exchange
+from bramleypin.internal import caller_part
 from bramleypin.internal.net import environment
 from bramleypin.internal import retry_budget
 from bramleypin.internal.wire import coap
@@ -38,9 +39,6 @@
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 5.0
 
-REQUEST_TAG = 292
-BLOCK_BYTES = 1024
-_BLOCK_EXPONENT = 6
 _TAG_BYTES = 4
 
 
@@ -110,16 +108,6 @@
     not_run: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
-class _Part:
-    """One message of a call: its body and its block options."""
-
-    payload: bytes = b""
-    block1: tuple[int, bool, int] | None = None
-    block2: tuple[int, bool, int] | None = None
-    tag: bytes = b""
-
-
 class Client:
     """A caller of one service; ``run`` must run while requests are made.
 
@@ -211,10 +199,10 @@
         return True
 
     async def _transfer(self, call: _Call, payload: bytes) -> Result:
-        if len(payload) > BLOCK_BYTES:
+        if len(payload) > caller_part.BLOCK_BYTES:
             return await self._send_blocks(call, payload)
-        first = await self._exchange(call, _Part(payload))
-        if isinstance(first, coap.Message) and _has_more(first):
+        first = await self._exchange(call, caller_part.Part(payload))
+        if isinstance(first, coap.Message) and coap.has_more(first):
             return await self._receive_blocks(call, first)
         return self._result(call, first)
 
@@ -224,24 +212,16 @@
         Only the last block makes the endpoint run the request.
         """
         tag = self._random.getrandbits(8 * _TAG_BYTES).to_bytes(_TAG_BYTES)
-        count = -(-len(payload) // BLOCK_BYTES)
-        for number in range(count):
-            start = number * BLOCK_BYTES
-            more = number + 1 < count
-            part = _Part(
-                payload[start : start + BLOCK_BYTES],
-                block1=(number, more, _BLOCK_EXPONENT),
-                tag=tag,
-            )
+        last = (len(payload) - 1) // caller_part.BLOCK_BYTES
+        for number in range(last):
+            part = caller_part.of_body(payload, number, True, tag)
             answer = await self._exchange(call, part)
-            result = self._result(call, answer)
-            if not more:
-                return result
             if not isinstance(answer, coap.Message):
                 return NotRun("the body was not sent whole")
             if answer.code != coap.CONTINUE:
-                return _before_last_block(result)
-        raise AssertionError("a body has at least one block")
+                return _before_last_block(self._result(call, answer))
+        part = caller_part.of_body(payload, last, False, tag)
+        return self._result(call, await self._exchange(call, part))
 
     async def _receive_blocks(
         self, call: _Call, first: coap.Message
@@ -251,12 +231,12 @@
         payload = first.payload
         etag = first.opt.etag or b""
         answer = first
-        while _has_more(answer):
+        while coap.has_more(answer):
             # The size that the endpoint has chosen holds for the whole
             # transfer (RFC 7959, section 2.4).
             number = answer.opt.block2.block_number + 1
             exponent = answer.opt.block2.size_exponent
-            part = _Part(block2=(number, False, exponent))
+            part = caller_part.Part(block2=(number, False, exponent))
             answer = await self._exchange(call, part)
             if not isinstance(answer, coap.Message):
                 return self._result(call, answer)
@@ -289,7 +269,7 @@
         return Answered(int(answer.code), answer.payload, etag, trips)
 
     async def _exchange(
-        self, call: _Call, part: _Part
+        self, call: _Call, part: caller_part.Part
     ) -> coap.Message | _Failure:
         """Send one message until it is answered under a pin if need be."""
         for _ in range(MAX_ECHO_ROUNDS):
@@ -311,11 +291,13 @@
             self.pin = b""
 
     async def _attempt(
-        self, call: _Call, part: _Part
+        self, call: _Call, part: caller_part.Part
     ) -> coap.Message | _Failure:
         while True:
             pinned = bool(self.pin)
-            message = self._message(call, part)
+            message = caller_part.message(
+                part, call.method, call.path, self.pin
+            )
             repeatable = call.idempotent or not pinned
             until_s = call.deadline_s
             if repeatable:
@@ -339,35 +321,6 @@
             if part.block1 is not None or part.block2 is not None:
                 return _Failure("the transfer was interrupted", not_run)
 
-    def _message(self, call: _Call, part: _Part) -> coap.Message:
-        code = _CODE_BY_METHOD[call.method]
-        message = coap.message(coap.CON, code, 0, b"", part.payload)
-        message.opt.uri_path = call.path
-        if part.block1 is not None:
-            message.opt.block1 = part.block1
-            coap.set_option(message, REQUEST_TAG, part.tag)
-        if part.block2 is not None:
-            message.opt.block2 = part.block2
-        if self.pin:
-            coap.set_option(message, coap.ECHO, self.pin)
-        return message
-
-
-_CODE_BY_METHOD = {
-    "GET": coap.code_number("0.01"),
-    "POST": coap.code_number("0.02"),
-    "PUT": coap.code_number("0.03"),
-    "DELETE": coap.code_number("0.04"),
-    "FETCH": coap.code_number("0.05"),
-    "PATCH": coap.code_number("0.06"),
-    "iPATCH": coap.code_number("0.07"),
-}
-
-
-def _has_more(answer: coap.Message) -> bool:
-    block = answer.opt.block2
-    return block is not None and block.more
-
 
 def _over_all_attempts(call: _Call, result: Result) -> Result:
     """Return the result of all attempts of a call together.
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -316,7 +316,5 @@
 
 
 def _has_more(response: coap.Message) -> bool:
-    block2 = response.opt.block2
-    if block2 is not None and block2.more:
-        return True
-    return response.code == coap.CONTINUE
+    """Tell whether a transfer goes on, in either direction."""
+    return coap.has_more(response) or response.code == coap.CONTINUE
--- a/src/bramleypin/internal/wire/coap.py
+++ b/src/bramleypin/internal/wire/coap.py
@@ -11,6 +11,7 @@
 from bramleypin import errors
 
 ECHO = 252  # RFC 9175; carries the pin
+REQUEST_TAG = 292  # RFC 9175; names the body that a block belongs to
 DEADLINE = 65000  # elective, uint, milliseconds left
 CANCEL = 65001  # critical, empty
 OUTCOME = 65008  # elective, uint, see Outcome
@@ -70,6 +71,17 @@
     return codes.Code(code).name
 
 
+def method_code(name: str) -> int:
+    """Return the request code of a method, for example ``"iPATCH"``."""
+    return int(getattr(codes, name))
+
+
+def has_more(item: Message) -> bool:
+    """Tell whether further blocks of an answer follow (RFC 7959)."""
+    block = item.opt.block2
+    return block is not None and block.more
+
+
 def is_request(code: int) -> bool:
     """Tell whether a code is a method, 0.01 to 0.31."""
     return 1 <= code <= 31
--- a/src/bramleypin/standins/endpoint.py
+++ b/src/bramleypin/standins/endpoint.py
@@ -19,7 +19,6 @@
 from bramleypin.internal.wire import coap
 from bramleypin.standins import endpoint_profile
 
-REQUEST_TAG = 292
 BLOCK_BYTES = 1024
 _BLOCK_EXPONENT = 6
 
@@ -278,7 +277,7 @@
         block = message.opt.block1
         if block is None:
             return message.payload
-        tag = coap.option(message, REQUEST_TAG)
+        tag = coap.option(message, coap.REQUEST_TAG)
         key = (source, message.opt.uri_path, tag)
         before = self._body_by_tag.get(key, b"")
         if len(before) != block.start:
