Count refusals in the burn report, and a lasting outage once

Cause: the burn rate missed requests that balancers answer themselves and that agents turn away before they have a record; while an endpoint was down, each refused health request was reported as one more cold start. Change: both refusals are recorded as outcomes, except moves to another endpoint, which the client repeats at once; only the first refusal of an outage is counted and traced. Figures: 20 refusals of one outage gave 20 cold starts before, 1 after.

--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -246,7 +246,14 @@
         self.turned_cold(reason)
 
     def went_down(self) -> None:
-        """Learn that nothing listens at the endpoint's port."""
+        """Learn that nothing listens at the endpoint's port.
+
+        Health requests are refused twice a second while that lasts. Only the
+        first refusal is reported; each one restarts the ramp.
+        """
+        if self.endpoint_down:
+            self.ramp.restart()
+            return
         self.endpoint_down = True
         self.turned_cold("refused")
 
--- a/src/bramleypin/internal/agent/rules.py
+++ b/src/bramleypin/internal/agent/rules.py
@@ -87,6 +87,8 @@
         fresh = arrival.pin.status is _Status.FRESH
         if fresh and self._records.get(key) is None:
             self._close_unseen(flow_id, arrival, answer)
+        if max_age_s != runner_module.MOVED_AFTER_S:
+            self._runner.count_refusal()
         self._answer(arrival, answer)
 
     def is_idempotent(self, message: coap.Message) -> bool:
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -24,12 +24,6 @@
     admission_module.Verdict.CLOSED: "the request was cancelled",
 }
 
-_NAME_BY_OUTCOME = {
-    coap.Outcome.NOT_RUN: "not_run",
-    coap.Outcome.UNKNOWN: "unknown",
-    coap.Outcome.INVALID: "invalid",
-}
-
 
 def not_run(reason: str, max_age_s: int = RETRY_AFTER_S) -> coap.Message:
     """Return an answer "not run, try later"; type and ids come later."""
@@ -259,7 +253,7 @@
         record.running = None
         self._replies.note_conclusion()
         outcome = coap.outcome(answer)
-        name = _NAME_BY_OUTCOME.get(outcome, "answered")
+        name = "answered" if outcome is None else outcome.name.lower()
         latency_s = anyio.current_time() - record.first_seen_s
         self._outcomes.record(self._service, name, latency_s)
         self._trace.record(f"{flow.flow_id:012x}", name, record.method)
@@ -279,6 +273,11 @@
         finally:
             flow.active -= 1
 
+    def count_refusal(self) -> None:
+        """Count a request that was turned away before it had a record."""
+        name = coap.Outcome.NOT_RUN.name.lower()
+        self._outcomes.record(self._service, name, 0.0)
+
     def repeat(self, flow: flow_module.Flow, record: requests.Record) -> None:
         """Send the stored answer to where the newest copy came from."""
         pin = b"" if record.lets_go else self._replies.pin_of(flow)
--- a/src/bramleypin/internal/balancer/forwarder.py
+++ b/src/bramleypin/internal/balancer/forwarder.py
@@ -79,6 +79,7 @@
         "lease",
         "metrics",
         "trace",
+        "outcomes",
         "status",
         "ingress",
         "openings",
@@ -95,6 +96,7 @@
         self._lease = kernel.get("lease")
         self._metrics = kernel.get("metrics")
         self._trace = kernel.get("trace")
+        self._outcomes = kernel.get("outcomes")
         self._ingress = kernel.get("ingress")
         self._openings = kernel.get("openings")
         self.sequence = 0
@@ -338,7 +340,12 @@
             self.drop(error.reason)
             return
         self._metrics.count(REFUSED)
-        self._ingress.send(answer, *flow_key.decode(key), via)
+        caller, service_address = flow_key.decode(key)
+        service = self.routes.view.service_at(service_address)
+        if service is not None:
+            name = refusal.outcome.name.lower()
+            self._outcomes.record(service, name, 0.0)
+        self._ingress.send(answer, caller, service_address, via)
 
     def opened(
         self,
--- a/src/bramleypin/standins/balancer_rig.py
+++ b/src/bramleypin/standins/balancer_rig.py
@@ -22,6 +22,7 @@
 _STARTED = (
     "metrics",
     "trace",
+    "outcomes",
     "status",
     "view",
     "port",
--- a/tests/cover/test_agent_admission.py
+++ b/tests/cover/test_agent_admission.py
@@ -253,6 +253,24 @@
         agent_play.play(scenario)
 
 
+class TestRefusals(unittest.TestCase):
+    def test_an_endpoint_that_stays_down_is_reported_once(self):
+        """Guards against a trace ring that is full of one cold start."""
+
+        async def scenario(stage):
+            admission = stage.rig.kernel.get("admission")
+            counts = stage.rig.kernel.get("metrics").count_by_name
+            before = counts.get("agent.cold_starts", 0)
+            for _ in range(20):
+                admission.went_down()
+            self.assertEqual(before + 1, counts["agent.cold_starts"])
+            admission.came_up()
+            admission.went_down()
+            self.assertEqual(before + 2, counts["agent.cold_starts"])
+
+        agent_play.play(scenario)
+
+
 def candidate(number, state=frames.State.READY, load=0.0):
     """Return a candidate."""
     at = address.Address(f"10.0.0.{number}", 7000)
--- a/tests/failures/test_balancer.py
+++ b/tests/failures/test_balancer.py
@@ -24,6 +24,12 @@
     return coap.scan_option(answer, coap.ECHO), bed.owner()
 
 
+def outcomes_of(bed, balancer):
+    """Return what a balancer counted for the report on burn."""
+    counted = bed.balancers[balancer].kernel.get("outcomes").buckets
+    return counted[-1].count_by_outcome["scheduler"] if counted else {}
+
+
 def drop_all_to(bed, agent):
     """Lose everything that is sent to an agent."""
     at = bed.agents[agent].port.address
@@ -182,6 +188,9 @@
                 self.assertEqual(outcome, coap.outcome(answer))
                 if code is not None:
                     self.assertEqual(coap.code_number(code), answer.code)
+                    self.assertEqual(
+                        {outcome.name.lower(): 1}, outcomes_of(bed, balancer)
+                    )
             self.assertEqual(before[owner], bed.received()[owner])
             self.assertEqual(probes, bed.agents[owner].probes)
             elsewhere = sum(bed.received()) - sum(before)
