--- a/tests/cover/test_loopback.py
+++ b/tests/cover/test_loopback.py
@@ -10,6 +10,7 @@
 from bramleypin.internal import address
 from bramleypin.internal.membership import secure_link
 from bramleypin.internal.net import control as network_module
+from bramleypin.internal.net import datagram
 from bramleypin.internal.net import platform as client_module
 from bramleypin.internal.wire import control
 from bramleypin import settings as settings_module
@@ -17,6 +18,8 @@
 
 KEY = b"k" * 32
 HOST = "127.0.0.1"
+# A bound on a failing run only; the refusal comes at once.
+WAIT_S = 10.0
 
 
 async def free_port():
@@ -142,3 +145,21 @@
         """Guards against a message that does not name the known schemes."""
         with self.assertRaisesRegex(errors.UnknownName, "http"):
             client_module.connect(settings_module.Platform("gopher://x"))
+
+
+class TestEndpointPort(unittest.TestCase):
+    def test_a_port_where_nothing_listens_is_seen_as_refused(self):
+        """Guards against "unknown" for a request that did not run."""
+
+        async def main():
+            nobody = await datagram.open_port(address.Address(HOST, 0))
+            at = nobody.address
+            await nobody.aclose()
+            port = await datagram.open_endpoint_port(at)
+            port.send(b"request")
+            with self.assertRaises(errors.EndpointRefused):
+                with anyio.fail_after(WAIT_S):
+                    await port.receive()
+            await port.aclose()
+
+        anyio.run(main)
