--- a/src/bramleypin/bench/config.py
+++ b/src/bramleypin/bench/config.py
@@ -8,7 +8,7 @@
 
 from bramleypin.bench import rows
 from bramleypin import errors
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 from bramleypin.internal.model import configuration
 from bramleypin.standins import fleet as fleet_module
 from bramleypin.standins import platform
@@ -51,7 +51,7 @@
 
 
 def _bytes(fleet: fleet_module.Fleet) -> int:
-    sent = sum(_total(fleet, names.SENT_BYTES))
+    sent = sum(_total(fleet, metric_names.SENT_BYTES))
     return sent + fleet.platform.bytes_read
 
 
@@ -76,7 +76,7 @@
 
 async def _measure(fleet: fleet_module.Fleet) -> Result:
     begun_s = anyio.current_time()
-    before = _total(fleet, names.PLATFORM_READS)
+    before = _total(fleet, metric_names.PLATFORM_READS)
     spread_s, bytes_a_change = await _changes(fleet)
     fleet.platform.set_down(True)
     await anyio.sleep(OUTAGE_S / 2)
@@ -87,7 +87,7 @@
     await anyio.sleep(CHANGE_INTERVAL_S)
     later_s, _ = await _changes(fleet)
     elapsed_s = anyio.current_time() - begun_s
-    after = _total(fleet, names.PLATFORM_READS)
+    after = _total(fleet, metric_names.PLATFORM_READS)
     reads = [b - a for a, b in zip(before, after, strict=True)]
     return Result(
         max(spread_s, later_s),
--- a/src/bramleypin/bench/control_child.py
+++ b/src/bramleypin/bench/control_child.py
@@ -16,7 +16,7 @@
 from bramleypin.internal.membership import control_server
 from bramleypin.internal.membership import lease  # noqa: F401
 from bramleypin.internal.membership import members  # noqa: F401
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 from bramleypin.internal.membership import platform_reader
 from bramleypin.internal.membership import sync  # noqa: F401
 from bramleypin.internal.membership import view_store  # noqa: F401
@@ -49,9 +49,9 @@
         "rss": resident_bytes(),
         "peak_rss": peak,
         "cpu_s": time.process_time(),
-        "sent": counts.get(names.SENT_BYTES, 0),
-        "received": counts.get(names.RECEIVED_BYTES, 0),
-        "reads": counts.get(names.PLATFORM_READS, 0),
+        "sent": counts.get(metric_names.SENT_BYTES, 0),
+        "received": counts.get(metric_names.RECEIVED_BYTES, 0),
+        "reads": counts.get(metric_names.PLATFORM_READS, 0),
         "revision": kernel.get("view").view.revision,
         "members": kernel.get("members").version,
         "member_count": len(kernel.get("members").vm_by_id),
--- a/src/bramleypin/internal/agent/admission.py
+++ b/src/bramleypin/internal/agent/admission.py
@@ -11,9 +11,9 @@
 from bramleypin.internal import address
 from bramleypin.internal.agent import admission_policy
 from bramleypin.internal.agent import cold_ramp
+from bramleypin.internal.agent import fair_queue
+from bramleypin.internal.agent import own_endpoint
 from bramleypin.internal.agent import requests
-from bramleypin.internal.agent import standing
-from bramleypin.internal.agent import waiting_line
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.model import view as view_module
 from bramleypin.internal.observe import logs
@@ -74,7 +74,7 @@
         super().__init__(kernel)
         policy = kernel.settings.endpoint.policy
         self.policy = admission_policy.POLICIES.get(policy)()
-        self.line = waiting_line.WaitingLine()
+        self.queue = fair_queue.FairQueue()
         self.times = cold_ramp.ServiceTimes()
         self.running = 0
         self.draining = False
@@ -82,14 +82,14 @@
         self.reported_draining = False
         self.ramp: cold_ramp.ColdRamp
         self.utilisation: cold_ramp.Utilisation
-        self.standing: standing.Standing
+        self.own_endpoint: own_endpoint.OwnEndpoint
         self._metrics: metrics.Metrics
 
     async def start(self) -> None:
         """Assume a cold endpoint: nothing is known about it yet."""
         self.ramp = cold_ramp.ColdRamp()
         self.utilisation = cold_ramp.Utilisation()
-        self.standing = standing.Standing(self.kernel)
+        self.own_endpoint = own_endpoint.OwnEndpoint(self.kernel)
         self._metrics = self.kernel.get("metrics")
 
     async def run(self) -> None:
@@ -101,7 +101,7 @@
 
     def limit(self) -> int:
         """Return how many requests may be at the endpoint now."""
-        endpoint = self.standing.endpoint()
+        endpoint = self.own_endpoint.endpoint()
         if endpoint is None:
             return 0
         return min(
@@ -118,20 +118,20 @@
         fast one needs a new request sooner and would stay idle for longer.
         """
         limit = max(1, self.limit())
-        load = (self.running + len(self.line)) / limit
+        load = (self.running + len(self.queue)) / limit
         load += TIE_BREAK / limit * min(1.0, self.utilisation.value())
         return load + REPORTED_DRAINING_LOAD * self.reported_draining
 
     def state(self, flows_full: bool = False) -> frames.State:
         """Return how this agent receives new flows."""
-        endpoint = self.standing.endpoint()
-        if self.standing.is_out():
+        endpoint = self.own_endpoint.endpoint()
+        if self.own_endpoint.is_out():
             return frames.State.OUT
-        if endpoint is None or self.draining or self.standing.is_leaving():
+        if endpoint is None or self.draining or self.own_endpoint.is_leaving():
             return frames.State.DRAINING
         if self.endpoint_down or flows_full:
             return frames.State.FULL
-        if len(self.line) >= self._queue_limit(endpoint):
+        if len(self.queue) >= self._queue_limit(endpoint):
             return frames.State.FULL
         if self.ramp.is_cold(endpoint):
             return frames.State.COLD
@@ -151,13 +151,13 @@
             return self._expire(ticket)
         if self.endpoint_down:
             return self._refuse(ticket)
-        if not self.line and self.running < self.limit():
+        if not self.queue and self.running < self.limit():
             return self._take_slot(ticket)
         if not self._make_room(caller):
             return self._refuse(ticket)
         leave_s = deadline_s - self.times.mean_s
-        waiter = waiting_line.Waiter(caller, ticket, leave_s, anyio.Event())
-        self.line.append(waiter)
+        waiter = fair_queue.Waiter(caller, ticket, leave_s, anyio.Event())
+        self.queue.append(waiter)
         await self._wait(waiter)
         return self._verdict(waiter)
 
@@ -173,24 +173,24 @@
         return Verdict.SHED if ticket.close() else Verdict.CLOSED
 
     def _make_room(self, caller: address.Address) -> bool:
-        endpoint = self.standing.endpoint()
+        endpoint = self.own_endpoint.endpoint()
         if endpoint is None:
             return False
-        if len(self.line) < self._queue_limit(endpoint):
+        if len(self.queue) < self._queue_limit(endpoint):
             return True
-        displaced = self.line.displace(caller)
+        displaced = self.queue.displace(caller)
         if displaced is None:
             return False
         self._metrics.count(SHED)
         displaced.woken.set()
         return True
 
-    async def _wait(self, waiter: waiting_line.Waiter) -> None:
+    async def _wait(self, waiter: fair_queue.Waiter) -> None:
         with anyio.move_on_after(waiter.leave_s - anyio.current_time()):
             await waiter.woken.wait()
-        self.line.remove(waiter)
+        self.queue.remove(waiter)
 
-    def _verdict(self, waiter: waiting_line.Waiter) -> Verdict:
+    def _verdict(self, waiter: fair_queue.Waiter) -> Verdict:
         ticket = waiter.ticket
         if ticket.state is requests.TicketState.RUNNING:
             return Verdict.ADMITTED
@@ -203,8 +203,8 @@
         return Verdict.EXPIRED if ticket.close() else Verdict.CLOSED
 
     def _admit_waiting(self) -> None:
-        while self.line and self.running < self.limit():
-            waiter = self.line.take()
+        while self.queue and self.running < self.limit():
+            waiter = self.queue.take()
             if waiter is None:
                 return
             # A process that was paused finds entries that are overdue.
@@ -214,9 +214,9 @@
 
     def forget(self, ticket: requests.Ticket) -> None:
         """Take a request that was closed out of the queue at once."""
-        waiter = self.line.find(ticket)
+        waiter = self.queue.find(ticket)
         if waiter is not None:
-            self.line.remove(waiter)
+            self.queue.remove(waiter)
             waiter.woken.set()
 
     def release(self) -> None:
--- a/src/bramleypin/internal/agent/endpoint.py
+++ b/src/bramleypin/internal/agent/endpoint.py
@@ -68,7 +68,7 @@
             self._tasks = tasks
             while True:
                 # Other protocols have no health report to ask for.
-                if self._admission.standing.is_datagram_service():
+                if self._admission.own_endpoint.is_datagram_service():
                     await anyio.sleep(HEALTH_INTERVAL_S)
                 else:
                     await self._watch_health()
--- a/src/bramleypin/internal/agent/waiting_line.py
+++ b/src/bramleypin/internal/agent/fair_queue.py
@@ -22,7 +22,7 @@
     woken: anyio.Event
 
 
-class WaitingLine:
+class FairQueue:
     """Waiters by caller, taken in turn: one of each caller at a time."""
 
     def __init__(self) -> None:
--- a/src/bramleypin/internal/agent/flows.py
+++ b/src/bramleypin/internal/agent/flows.py
@@ -114,7 +114,7 @@
             "held": len(self._flow_by_id),
             "records": len(self.records),
             "running": self._admission.running,
-            "waiting": len(self._admission.line),
+            "waiting": len(self._admission.queue),
             "limit": self._admission.limit(),
             "state": self.state().name.lower(),
         }
@@ -155,7 +155,7 @@
         flow = self._flow_by_key.get(key)
         if flow is None or not self._admission.draining:
             return flow is not None
-        if self._admission.standing.is_datagram_service():
+        if self._admission.own_endpoint.is_datagram_service():
             return True
         return anyio.current_time() < flow.transfer_until_s
 
@@ -237,7 +237,7 @@
             flow.keys.add(arrival.key)
 
     def _limit(self) -> int:
-        endpoint = self._admission.standing.endpoint()
+        endpoint = self._admission.own_endpoint.endpoint()
         return 0 if endpoint is None else endpoint.connections
 
     def _has_room(self) -> bool:
@@ -281,7 +281,7 @@
 
     async def _serve(self, flow: flow_module.Flow) -> None:
         """Read a flow's datagrams until it has been idle for a while."""
-        if self._admission.standing.is_datagram_service():
+        if self._admission.own_endpoint.is_datagram_service():
             await self._datagrams.serve(flow)
             return
         while True:
--- a/src/bramleypin/internal/agent/standing.py
+++ b/src/bramleypin/internal/agent/own_endpoint.py
@@ -7,7 +7,7 @@
 from bramleypin.internal.model import view as view_module
 
 
-class Standing:
+class OwnEndpoint:
     """Answers questions on the endpoint from the view that is in force."""
 
     def __init__(self, kernel: kernel_module.Kernel):
--- a/src/bramleypin/internal/agent/receiver.py
+++ b/src/bramleypin/internal/agent/receiver.py
@@ -11,9 +11,9 @@
 from bramleypin.internal.agent import flows as flows_module
 from bramleypin.internal.agent import identity as identity_module
 from bramleypin.internal.agent import opening
+from bramleypin.internal.agent import own_endpoint as own_endpoint_module
 from bramleypin.internal.agent import pauses
 from bramleypin.internal.agent import runner as runner_module
-from bramleypin.internal.agent import standing as standing_module
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
@@ -85,7 +85,7 @@
         self._metrics = kernel.get("metrics")
         self._trace = kernel.get("trace")
         self._views = kernel.get("view")
-        self._standing = standing_module.Standing(kernel)
+        self._own_endpoint = own_endpoint_module.OwnEndpoint(kernel)
         self._replay = replay.ReplayFilter()
         self._decisions = opening.Decisions(kernel.environment.random)
         self._pauses = pauses.Pauses()
@@ -192,7 +192,7 @@
     ) -> None:
         if not self._views.view.revision:
             raise errors.InvalidFrame("no_view")
-        if not self._standing.may_deliver(
+        if not self._own_endpoint.may_deliver(
             frame.service, frame.service_address
         ):
             self._send_notice(frames.Reason.WRONG_SERVICE, sender)
@@ -225,7 +225,7 @@
         sender: address.Address,
     ) -> None:
         self._check_service(frame, sender)
-        if self._standing.is_out():
+        if self._own_endpoint.is_out():
             self._send_notice(frames.Reason.FAILURE_DOMAIN_OUT, sender)
             raise errors.InvalidFrame("domain_out")
         if frame.incarnation != self._identity.incarnation:
@@ -235,7 +235,7 @@
             raise errors.InvalidFrame("replayed")
         self._compare_revision(frame.revision, sender)
         arrival = flow_module.Arrival(frame, payload, anyio.current_time())
-        if self._standing.is_datagram_service():
+        if self._own_endpoint.is_datagram_service():
             self._deliver_datagram(arrival, sender)
         else:
             self._deliver_coap(arrival, sender)
@@ -325,7 +325,7 @@
         current = tuple(
             self._refreshed(item)
             for item in offered
-            if self._standing.takes_new_flows(item.data)
+            if self._own_endpoint.takes_new_flows(item.data)
         )
         chosen = self._decisions.get(arrival.key, current)
         reason = "decided_before"
--- a/src/bramleypin/internal/agent/requests.py
+++ b/src/bramleypin/internal/agent/requests.py
@@ -119,7 +119,7 @@
     announced: bool = False
     running: Cancellable | None = None
     cancel_asked: bool = False
-    lets_go: bool = False
+    released: bool = False
 
 
 def content_digest(message: coap.Message) -> bytes:
--- a/src/bramleypin/internal/agent/rules.py
+++ b/src/bramleypin/internal/agent/rules.py
@@ -94,7 +94,7 @@
     def is_idempotent(self, message: coap.Message) -> bool:
         """Tell whether running a request again changes nothing more."""
         method = coap.method_name(int(message.code))
-        if self._admission.standing.is_run_once(method):
+        if self._admission.own_endpoint.is_run_once(method):
             return False
         return method in coap.IDEMPOTENT_METHODS
 
@@ -189,7 +189,7 @@
     ) -> None:
         answer = runner_module.not_run(reason, runner_module.MOVED_AFTER_S)
         self._close_unseen(flow.flow_id, arrival, answer)
-        self._runner.let_go(flow)
+        self._runner.release_if_idle(flow)
         self._answer(arrival, answer)
 
     def _close_unseen(
--- a/src/bramleypin/internal/agent/runner.py
+++ b/src/bramleypin/internal/agent/runner.py
@@ -165,7 +165,7 @@
         record.ticket.move(requests.TicketState.UNKNOWN)
         self.conclude(flow, record, unknown("no answer before the deadline"))
         exchange.cancel()
-        service = self._admission.standing.service()
+        service = self._admission.own_endpoint.service()
         longest_s = 30.0 if service is None else service.max_duration_s
         if await exchange.wait(exchange.started_s + longest_s):
             if exchange.end is channel_module.End.ANSWERED:
@@ -230,11 +230,11 @@
         The caller's next request then opens the flow anew, at an endpoint
         that has room.
         """
-        if not record.announced and self.let_go(flow, own=1):
-            record.lets_go = True
+        if not record.announced and self.release_if_idle(flow, own=1):
+            record.released = True
         self.conclude(flow, record, answer)
 
-    def let_go(self, flow: flow_module.Flow, own: int = 0) -> bool:
+    def release_if_idle(self, flow: flow_module.Flow, own: int = 0) -> bool:
         """Release a flow that has no requests but ``own`` and no transfer."""
         in_transfer = anyio.current_time() < flow.transfer_until_s
         if flow.active > own or flow.inbox or in_transfer:
@@ -280,7 +280,7 @@
 
     def repeat(self, flow: flow_module.Flow, record: requests.Record) -> None:
         """Send the stored answer to where the newest copy came from."""
-        pin = b"" if record.lets_go else self._replies.pin_of(flow)
+        pin = b"" if record.released else self._replies.pin_of(flow)
         self._replies.send_once(
             record.newest, record.answer, record.key[1], pin
         )
--- a/src/bramleypin/internal/membership/control_server.py
+++ b/src/bramleypin/internal/membership/control_server.py
@@ -3,7 +3,7 @@
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.membership import handlers
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 from bramleypin.internal.membership import secure_link
 from bramleypin.internal.net import environment
 from bramleypin.internal.observe import logs
@@ -42,7 +42,7 @@
     async def _accept(self, link: environment.ControlLink) -> None:
         open_links = len(self._sync.links)
         if open_links >= MAX_LINKS or self._handshakes >= MAX_HANDSHAKES:
-            self._metrics.count(names.LINKS_REFUSED)
+            self._metrics.count(metric_names.LINKS_REFUSED)
             _log.limited("full", "refused a control link; too many are open")
             await link.aclose()
             return
--- a/src/bramleypin/internal/membership/lease.py
+++ b/src/bramleypin/internal/membership/lease.py
@@ -12,7 +12,7 @@
 import anyio.abc
 
 from bramleypin.internal import kernel as kernel_module
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 
 LEASE_S = 3.0
 REQUEST_INTERVAL_S = 1.0
@@ -90,7 +90,7 @@
                 self._tick()
                 valid = self.is_valid()
                 if self._was_valid and not valid:
-                    self._metrics.count(names.LEASE_LAPSES)
+                    self._metrics.count(metric_names.LEASE_LAPSES)
                 self._was_valid = valid
                 self._ask(tasks)
                 await self._pause(valid)
--- a/src/bramleypin/internal/membership/peer_link.py
+++ b/src/bramleypin/internal/membership/peer_link.py
@@ -9,7 +9,7 @@
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.membership import handlers
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 from bramleypin.internal.membership import secure_link
 from bramleypin.internal.model import configuration
 from bramleypin.internal.wire import control
@@ -103,7 +103,7 @@
         before = self._secure.sent_bytes
         await self._secure.send(message)
         sent = self._secure.sent_bytes - before
-        self._metrics.count(names.SENT_BYTES, sent)
+        self._metrics.count(metric_names.SENT_BYTES, sent)
 
     async def request_lease(self, lease_id: int) -> None:
         """Send a lease request; a link that answers none is closed."""
@@ -204,7 +204,7 @@
         before = self._secure.received_bytes
         message = await self._secure.receive()
         received = self._secure.received_bytes - before
-        self._metrics.count(names.RECEIVED_BYTES, received)
+        self._metrics.count(metric_names.RECEIVED_BYTES, received)
         return message
 
     async def _handle(self, message: typing.Any) -> None:
--- a/src/bramleypin/internal/membership/platform_reader.py
+++ b/src/bramleypin/internal/membership/platform_reader.py
@@ -7,7 +7,7 @@
 
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 from bramleypin.internal.membership import roster
 from bramleypin.internal.model import configuration
 from bramleypin.internal.model import vms
@@ -108,11 +108,11 @@
         return self.kernel.environment.random.uniform(RETRY_MIN_S, RETRY_MAX_S)
 
     async def _call(self, call: typing.Awaitable) -> typing.Any:
-        self._metrics.count(names.PLATFORM_READS)
+        self._metrics.count(metric_names.PLATFORM_READS)
         try:
             return await call
         except errors.PlatformUnavailable:
-            self._metrics.count(names.PLATFORM_FAILURES)
+            self._metrics.count(metric_names.PLATFORM_FAILURES)
             raise
 
     async def _read(self, name: str) -> environment.PlatformValue:
--- a/src/bramleypin/internal/membership/sync.py
+++ b/src/bramleypin/internal/membership/sync.py
@@ -9,7 +9,7 @@
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal import kernel as kernel_module
-from bramleypin.internal.membership import names
+from bramleypin.internal.membership import metric_names
 from bramleypin.internal.membership import peer_link
 from bramleypin.internal.membership import platform_reader
 from bramleypin.internal.membership import secure_link
@@ -125,20 +125,20 @@
         except errors.ConflictingRevision:
             self.report_conflict(manifest.revision, source)
         except errors.StaleRevision:
-            self._metrics.count(names.STALE)
+            self._metrics.count(metric_names.STALE)
         except errors.InvalidConfiguration as error:
             self.report_invalid(error, source)
             return False
         else:
-            self._metrics.count(names.APPLIED)
-            self._metrics.gauge(names.REVISION, manifest.revision)
+            self._metrics.count(metric_names.APPLIED)
+            self._metrics.gauge(metric_names.REVISION, manifest.revision)
             _log.info("put revision in force", revision=manifest.revision)
         return True
 
     def report_conflict(self, revision: int, source: str) -> None:
         """Record that a source has other contents under our revision."""
         self.conflicts += 1
-        self._metrics.count(names.CONFLICTS)
+        self._metrics.count(metric_names.CONFLICTS)
         error = errors.ConflictingRevision(revision)
         _log.limited("conflict", f"kept the accepted one: {error}", at=source)
 
@@ -146,14 +146,14 @@
         self, error: errors.InvalidConfiguration, source: str
     ) -> None:
         """Record a configuration that was refused as a whole."""
-        self._metrics.count(names.INVALID)
+        self._metrics.count(metric_names.INVALID)
         _log.limited("invalid", f"refused: {error}", source=source)
 
     def reject(self, reason: str, peer: str) -> None:
         """Count a link that ended because of what the peer sent."""
         count = self.rejected_by_reason.get(reason, 0)
         self.rejected_by_reason[reason] = count + 1
-        name = names.REJECTED_BY_REASON.get(reason)
+        name = metric_names.REJECTED_BY_REASON.get(reason)
         if name is not None:
             self._metrics.count(name)
         _log.limited(reason, "ended a control link", reason=reason, peer=peer)
@@ -164,13 +164,13 @@
         """Use an authenticated link until it ends."""
         link = peer_link.PeerLink(self.kernel, self, secure, outgoing)
         self.links.add(link)
-        self._metrics.gauge(names.LINKS, len(self.links))
+        self._metrics.gauge(metric_names.LINKS, len(self.links))
         try:
             await link.run()
         finally:
             self.links.discard(link)
             self._linked_at = anyio.current_time()
-            self._metrics.gauge(names.LINKS, len(self.links))
+            self._metrics.gauge(metric_names.LINKS, len(self.links))
             with anyio.CancelScope(shield=True):
                 await link.aclose()
 
--- a/src/bramleypin/matrix/broken.py
+++ b/src/bramleypin/matrix/broken.py
@@ -7,10 +7,10 @@
 from bramleypin.internal.agent import channel
 from bramleypin.internal.agent import cold_ramp
 from bramleypin.internal.agent import flows
+from bramleypin.internal.agent import own_endpoint
 from bramleypin.internal.agent import requests
 from bramleypin.internal.agent import rules
 from bramleypin.internal.agent import runner
-from bramleypin.internal.agent import standing
 from bramleypin.internal.membership import lease
 from bramleypin.internal.model import configuration
 from bramleypin.internal.model import view
@@ -144,7 +144,7 @@
 
     return variants.replace_all(
         (view, "_endpoint_view", endpoint_view),
-        (standing.Standing, "is_leaving", _false),
+        (own_endpoint.OwnEndpoint, "is_leaving", _false),
     )
 
 
@@ -170,7 +170,7 @@
 
     return variants.replace_all(
         (view.View, "service_at", service_at),
-        (standing.Standing, "may_deliver", _true),
+        (own_endpoint.OwnEndpoint, "may_deliver", _true),
     )
 
 
