--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/python -m bramleypin.bench $(ARGS)
 
 matrix: setup
-	$(BIN)/bramleypin-matrix $(ARGS)
+	$(BIN)/bramleypin-matrix $(or $(ARGS),--all --variants)
 
 lint: setup
 	$(BIN)/black --quiet --check --diff src tests
