Define CoAP's timers and the longest deadline once

Cause: the retransmission constants and the first timeout stood in the caller, the agent's channel and its replies; the longest deadline stood in the client and the agent, and 'not run' for an expired record relies on both being equal. Change: wire/coap.py defines them; an unused tuple in the matrix is removed. Values, the draws of random numbers and behaviour stay as they are.

--- a/src/bramleypin/client.py
+++ b/src/bramleypin/client.py
@@ -19,7 +19,6 @@
 from bramleypin.internal import retry_budget
 from bramleypin.internal.wire import coap
 
-MAX_DEADLINE_S = 120.0
 DEFAULT_DEADLINE_S = 30.0
 
 # A request that may be repeated is sent anew, without the pin, when nothing
@@ -153,7 +152,7 @@
         idempotent = (
             method in coap.IDEMPOTENT_METHODS and method not in self._run_once
         )
-        allowed_s = min(deadline_s, MAX_DEADLINE_S)
+        allowed_s = min(deadline_s, coap.MAX_DEADLINE_S)
         call = _Call(
             method,
             tuple(part for part in path.split("/") if part),
--- a/src/bramleypin/internal/agent/channel.py
+++ b/src/bramleypin/internal/agent/channel.py
@@ -15,10 +15,6 @@
 from bramleypin.internal.net import environment
 from bramleypin.internal.wire import coap
 
-ACK_TIMEOUT_S = 2.0
-ACK_RANDOM_FACTOR = 1.5
-MAX_RETRANSMIT = 4
-
 _TOKEN_BYTES = 6
 _MIDS = 1 << 16
 
@@ -70,7 +66,7 @@
                 self._encode_request,
                 self.started_s + wait_s,
                 wait_s,
-                MAX_RETRANSMIT,
+                coap.MAX_RETRANSMIT,
             )
         self.transmissions += 1
         self._channel.send(self._encode_request())
@@ -94,7 +90,7 @@
             self._encode_cancel,
             anyio.current_time() + wait_s,
             wait_s,
-            MAX_RETRANSMIT,
+            coap.MAX_RETRANSMIT,
         )
         self._channel.send(self._encode_cancel())
         self._wake()
@@ -191,7 +187,7 @@
 
     def first_wait_s(self) -> float:
         """Return the time until the first retransmission, with jitter."""
-        return ACK_TIMEOUT_S * self._random.uniform(1.0, ACK_RANDOM_FACTOR)
+        return coap.first_timeout_s(self._random)
 
     @property
     def is_idle(self) -> bool:
--- a/src/bramleypin/internal/agent/replies.py
+++ b/src/bramleypin/internal/agent/replies.py
@@ -5,7 +5,6 @@
 
 import anyio
 
-from bramleypin.internal.agent import channel as channel_module
 from bramleypin.internal.agent import flow as flow_module
 from bramleypin.internal.agent import identity
 from bramleypin.internal.agent import requests
@@ -144,10 +143,8 @@
         mid = flow.new_mid()
         confirmed = anyio.Event()
         flow.confirmed_by_mid[mid] = confirmed
-        wait_s = channel_module.ACK_TIMEOUT_S * self._random.uniform(
-            1.0, channel_module.ACK_RANDOM_FACTOR
-        )
-        for _ in range(channel_module.MAX_RETRANSMIT + 1):
+        wait_s = coap.first_timeout_s(self._random)
+        for _ in range(coap.MAX_RETRANSMIT + 1):
             self._send_separate(flow, record, mid)
             with anyio.move_on_after(wait_s):
                 await confirmed.wait()
--- a/src/bramleypin/internal/agent/requests.py
+++ b/src/bramleypin/internal/agent/requests.py
@@ -17,8 +17,6 @@
 RECORD_LIFETIME_S = 300.0
 assert RECORD_LIFETIME_S >= identity.PIN_LIFETIME_S
 
-MAX_DEADLINE_S = 120.0
-
 # Digest of a record made by a cancellation that came before its request.
 ANY_CONTENT = b""
 
--- a/src/bramleypin/internal/agent/rules.py
+++ b/src/bramleypin/internal/agent/rules.py
@@ -103,7 +103,7 @@
     ) -> requests.Record:
         message = arrival.message
         asked_ms = coap.uint_option(message, coap.DEADLINE)
-        allowed_s = requests.MAX_DEADLINE_S
+        allowed_s = coap.MAX_DEADLINE_S
         if asked_ms is not None:
             allowed_s = min(allowed_s, asked_ms / 1000)
         now = anyio.current_time()
--- a/src/bramleypin/internal/caller_exchange.py
+++ b/src/bramleypin/internal/caller_exchange.py
@@ -10,10 +10,6 @@
 from bramleypin.internal.net import environment
 from bramleypin.internal.wire import coap
 
-ACK_TIMEOUT_S = 2.0
-ACK_RANDOM_FACTOR = 1.5
-MAX_RETRANSMIT = 4
-
 # While a separate response is awaited, the request is repeated now and then,
 # so that its answer takes a way that exists should a balancer have failed.
 REMIND_S = 5.0
@@ -111,13 +107,13 @@
         deadline_s: float,
         until_s: float,
     ) -> None:
-        wait_s = ACK_TIMEOUT_S * self._random.uniform(1.0, ACK_RANDOM_FACTOR)
+        wait_s = coap.first_timeout_s(self._random)
         sent = 0
         while pending.answer is None and not pending.rejected:
             now = anyio.current_time()
             if now >= until_s:
                 return
-            if sent <= MAX_RETRANSMIT or pending.acknowledged:
+            if sent <= coap.MAX_RETRANSMIT or pending.acknowledged:
                 self._send(message, deadline_s - now)
                 sent += 1
             await self._wait(pending, min(now + wait_s, until_s))
--- a/src/bramleypin/internal/wire/coap.py
+++ b/src/bramleypin/internal/wire/coap.py
@@ -1,6 +1,7 @@
 """CoAP messages (RFC 7252) through aiocoap's codec, and our options."""
 
 import enum
+import random as random_module
 
 import aiocoap
 from aiocoap.numbers import codes
@@ -23,6 +24,17 @@
 
 IDEMPOTENT_METHODS = frozenset(("GET", "PUT", "DELETE", "FETCH", "iPATCH"))
 
+# RFC 7252, section 4.8, for callers, agents and the exchange between an agent
+# and its endpoint alike.
+ACK_TIMEOUT_S = 2.0
+ACK_RANDOM_FACTOR = 1.5
+MAX_RETRANSMIT = 4
+
+# The longest that a caller waits. An agent may answer "not run" to a copy
+# whose record has expired, because no caller waits for it any more; so both
+# sides must use the same figure.
+MAX_DEADLINE_S = 120.0
+
 _PAYLOAD_MARKER = 0xFF
 _FIRST_BYTES = 4
 
@@ -66,6 +78,11 @@
     )
 
 
+def first_timeout_s(random: random_module.Random) -> float:
+    """Return the seconds to wait before the first retransmission."""
+    return ACK_TIMEOUT_S * random.uniform(1.0, ACK_RANDOM_FACTOR)
+
+
 def method_name(code: int) -> str:
     """Return the name of a request code, for example ``"GET"``."""
     return codes.Code(code).name
--- a/src/bramleypin/matrix/packets.py
+++ b/src/bramleypin/matrix/packets.py
@@ -10,8 +10,6 @@
 from bramleypin.matrix import journal as journal_module
 from bramleypin.standins import virtual_network
 
-ROLES = ("balancer", "agent", "endpoint", "fabric", "caller")
-
 
 def role_of(process: typing.Any) -> str:
     """Return the role of a process of a cell by its name."""
