--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -131,6 +131,10 @@
     """Raised when the configuration service does not answer a read."""
 
 
+class PlatformHistoryLost(BramleypinError):
+    """Raised when the store has discarded the changes that were asked for."""
+
+
 class PlatformKeyMissing(BramleypinError):
     """Raised when the configuration service has no value under a key."""
 
--- /dev/null
+++ b/src/bramleypin/internal/net/http_response.py
@@ -0,0 +1,40 @@
+"""Reads one HTTP/1.1 response; shared by the clients over h11."""
+
+import anyio
+import anyio.abc
+import h11
+
+RECEIVE_BYTES = 65_536
+
+
+async def read(
+    connection: h11.Connection,
+    stream: anyio.abc.ByteStream,
+    limit_bytes: int,
+) -> tuple[int, dict[bytes, bytes], bytes]:
+    """Return a response's status, headers and body.
+
+    :raises h11.RemoteProtocolError: when it is malformed, ends early or has a
+        body of more than ``limit_bytes``.
+    """
+    status = 0
+    headers: dict[bytes, bytes] = {}
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                connection.receive_data(await stream.receive(RECEIVE_BYTES))
+            except anyio.EndOfStream:
+                connection.receive_data(b"")
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = dict(event.headers)
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > limit_bytes:
+                raise h11.RemoteProtocolError("the body is over the limit")
+        elif isinstance(event, h11.EndOfMessage):
+            return status, headers, bytes(body)
+        else:
+            raise h11.RemoteProtocolError("the connection ended early")
--- a/src/bramleypin/internal/net/platform.py
+++ b/src/bramleypin/internal/net/platform.py
@@ -4,18 +4,17 @@
 import urllib.parse
 
 import anyio
-import anyio.abc
 import h11
 
 from bramleypin import errors
 from bramleypin.internal.model import configuration
 from bramleypin.internal.net import environment
+from bramleypin.internal.net import http_response
 from bramleypin.internal import registry
 from bramleypin import settings as settings_module
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 5.0
-RECEIVE_BYTES = 65_536
 
 Factory = typing.Callable[
     [settings_module.Platform], environment.PlatformSource
@@ -98,33 +97,9 @@
             )
             await stream.send(connection.send(request))
             await stream.send(connection.send(h11.EndOfMessage()))
-            return await _read_response(connection, stream)
-
-
-async def _read_response(
-    connection: h11.Connection, stream: anyio.abc.ByteStream
-) -> tuple[int, dict[bytes, bytes], bytes]:
-    status = 0
-    headers: dict[bytes, bytes] = {}
-    body = bytearray()
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            try:
-                connection.receive_data(await stream.receive(RECEIVE_BYTES))
-            except anyio.EndOfStream:
-                connection.receive_data(b"")
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-            headers = dict(event.headers)
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > configuration.VALUE_LIMIT_BYTES:
-                raise h11.RemoteProtocolError("the value is over the limit")
-        elif isinstance(event, h11.EndOfMessage):
-            return status, headers, bytes(body)
-        else:
-            raise h11.RemoteProtocolError("the connection ended early")
+            return await http_response.read(
+                connection, stream, configuration.VALUE_LIMIT_BYTES
+            )
 
 
 def _value(
--- a/src/bramleypin/internal/observe/metrics.py
+++ b/src/bramleypin/internal/observe/metrics.py
@@ -36,7 +36,10 @@
     return name
 
 
-@kernel_module.service("metrics", roles=("balancer", "agent"))
+@kernel_module.service(
+    "metrics",
+    roles=("balancer", "agent", "stream_balancer", "stream_agent"),
+)
 class Metrics(kernel_module.Service):
     """Counts in memory and sends the increments at an interval."""
 
--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -20,6 +20,14 @@
     "bramleypin.internal.observe.requests",
 )
 
+_STREAM = (
+    "bramleypin.internal.observe.metrics",
+    "bramleypin.internal.stream.view_keeper",
+    "bramleypin.internal.stream.peer_port",
+    "bramleypin.internal.stream.readiness",
+    "bramleypin.internal.stream.leaving",
+)
+
 MODULES_BY_ROLE: dict[str, tuple[str, ...]] = {
     "balancer": (
         *_SHARED,
@@ -35,6 +43,18 @@
         "bramleypin.internal.agent.flows",
         "bramleypin.internal.agent.receiver",
     ),
+    "stream_balancer": (
+        *_STREAM,
+        "bramleypin.internal.stream.loads",
+        "bramleypin.internal.stream.openings",
+        "bramleypin.internal.stream.owners",
+        "bramleypin.internal.stream.balancer",
+    ),
+    "stream_agent": (
+        *_STREAM,
+        "bramleypin.internal.stream.stream_admission",
+        "bramleypin.internal.stream.agent",
+    ),
 }
 
 
--- /dev/null
+++ b/src/bramleypin/internal/stream/agent.py
@@ -0,0 +1,437 @@
+"""The agent of stream flows: all packets of one endpoint pass here."""
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.net import datagram
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import endpoint_flows
+from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import segment
+
+BURST = 64
+PURGE_INTERVAL_S = 1.0
+# The endpoint answers an opening within a millisecond.
+ENDPOINT_TIMEOUT_S = 0.06
+TICK_S = 0.02
+# Openings in a row without an answer, until the endpoint counts as silent.
+SILENT_AFTER = 3
+REPORT_INTERVAL_S = 0.1
+# Balancers that have sent nothing for this long get no more reports.
+AUDIENCE_S = 3.0
+# A target-size fleet has hundreds of balancers; an agent reports to some.
+MAX_AUDIENCE = 32
+MASK = 0xFFFFFFFF
+
+TAKEN = metrics.declare(
+    "stream.flows_taken", "counter", "flows", "Openings given to the endpoint."
+)
+PASSED = metrics.declare(
+    "stream.openings_passed", "counter", "flows", "Openings passed on."
+)
+DECLINED = metrics.declare(
+    "stream.openings_declined",
+    "counter",
+    "flows",
+    "Openings that no agent in the offer could take.",
+)
+BOUNCED = metrics.declare(
+    "stream.packets_bounced",
+    "counter",
+    "packets",
+    "Packets that the endpoint returned, as it does not hold their flow.",
+)
+TO_CALLER = metrics.declare(
+    "stream.packets_to_callers", "counter", "packets", "Packets to callers."
+)
+NOT_HELD = metrics.declare(
+    "stream.packets_not_held",
+    "counter",
+    "packets",
+    "Packets returned to a balancer, as their flow is not here.",
+)
+
+_log = logs.get("agent")
+
+
+@kernel_module.service(
+    "agent",
+    roles=("stream_agent",),
+    needs=("view", "peer_port", "stream_admission", "metrics"),
+)
+class Agent(kernel_module.Service):
+    """Owns the flows of the endpoint on its machine."""
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        settings = kernel.settings
+        self.settings = settings
+        self.flows = endpoint_flows.EndpointFlows(settings.caller_port)
+        self._codec = kernel.environment.codec
+        self._keeper = kernel.get("view")
+        self._peers = kernel.get("peer_port")
+        self._admission = kernel.get("stream_admission")
+        self._metrics = kernel.get("metrics")
+        self._started_s = anyio.current_time()
+        self._heard_s_by_host: dict[str, float] = {}
+        self._unanswered_in_row = 0
+        self._reported: frames.Report | None = None
+        self._wake = anyio.Event()
+        self._peers.on(frames.Open, self._on_open)
+        self._peers.on(frames.Data, self._on_data)
+        self._peers.on(frames.Lookup, self._on_lookup)
+
+    async def start(self) -> None:
+        """Open the port that the endpoint sends to."""
+        self._port = await self.kernel.environment.open_datagram_port(
+            self.settings.outbound
+        )
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self._port.aclose()
+
+    async def run(self) -> None:
+        """Read the endpoint's packets until the port is closed."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_openings)
+            tasks.start_soon(self._report_regularly)
+            tasks.start_soon(self._purge)
+            burst: list[tuple[bytes, tuple[str, int]]] = []
+            while True:
+                burst.append(await self._port.receive())
+                datagram.receive_more(self._port, BURST, burst)
+                for data, _ in burst:
+                    self.handle_outbound(data)
+                burst.clear()
+
+    def report(self) -> frames.Report:
+        """Return what balancers need to know of the endpoint."""
+        known = self._admission.endpoint()
+        return frames.Report(
+            self.settings.host,
+            self.settings.service,
+            self.flows.running,
+            known.slots if known is not None else 1,
+            round(self.flows.service_time_s, 4),
+            self._admission.room(),
+            self._admission.state(),
+            self._keeper.view.revision,
+        )
+
+    # Openings
+
+    def _on_open(self, message: frames.Open, data: bytes, host: str) -> None:
+        packet = self._codec.decode(data)
+        if packet is None or not packet.opening:
+            return
+        self._heard_s_by_host[message.origin_host] = anyio.current_time()
+        flow = packet.flow_from_caller()
+        entry = self.flows.flow_by_key.get(flow)
+        if entry is not None and entry.ended_s is None:
+            self._to_endpoint(entry, packet)
+            self._answer(message, "taken", "known")
+            return
+        last = not message.spare_hosts
+        reason = self._admission.decide(
+            message, self.flows.running, self.flows.open_count, last
+        )
+        if reason:
+            self._pass_on(message, packet.raw, reason)
+            return
+        self._take(message, packet, flow)
+
+    def _take(
+        self, message: frames.Open, packet: segment.Segment, flow: segment.Flow
+    ) -> None:
+        self._metrics.count(TAKEN)
+        known = self.flows.flow_by_key.get(flow)
+        if known is not None:
+            self.flows.forget(known)
+        entry = self.flows.add(flow)
+        entry.opening = packet.raw
+        entry.origin_host = message.origin_host
+        entry.number = message.opening
+        entry.spare_hosts = tuple(message.spare_hosts)
+        entry.tried_hosts = tuple(message.tried_hosts)
+        entry.offered_s = entry.created_s
+        route = self._keeper.view.configuration.route_by_address.get(
+            packet.destination
+        )
+        entry.idempotent = route is not None and route.idempotent
+        self.flows.begin_request(entry, self._slots())
+        self.flows.unanswered_by_key[flow] = entry
+        self._send_to_endpoint(packet.raw)
+        self._answer(message, "taken", "")
+        self._wake.set()
+
+    def _slots(self) -> int:
+        known = self._admission.endpoint()
+        return known.slots if known is not None else 1
+
+    def _pass_on(
+        self, message: frames.Open, packet: bytes, reason: str
+    ) -> None:
+        """Offer an opening to the next agent, or tell that none is left."""
+        spares = [
+            host
+            for host in message.spare_hosts
+            if host not in message.tried_hosts and host != self.settings.host
+        ]
+        if not spares:
+            self._metrics.count(DECLINED)
+            self._answer(message, "refused", reason)
+            return
+        self._metrics.count(PASSED)
+        self._answer(message, "passed", spares[0])
+        self._peers.send(
+            spares[0],
+            frames.Open(
+                message.opening,
+                message.origin_host,
+                message.service,
+                message.version,
+                message.revision,
+                [*message.tried_hosts, self.settings.host],
+                spares[1:],
+            ),
+            packet,
+        )
+
+    def _answer(
+        self, message: frames.Open, outcome: str, reason: str
+    ) -> None:
+        self._peers.send(
+            message.origin_host,
+            frames.Opened(message.opening, outcome, reason, self.report()),
+        )
+
+    async def _watch_openings(self) -> None:
+        """Pass on openings that the endpoint does not answer."""
+        while True:
+            if not self.flows.unanswered_by_key:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            before_s = anyio.current_time()
+            await anyio.sleep(TICK_S)
+            now_s = anyio.current_time()
+            if now_s - before_s > ENDPOINT_TIMEOUT_S:
+                # The process stood still; answers may wait in the socket.
+                continue
+            for entry in list(self.flows.unanswered_by_key.values()):
+                if now_s - entry.offered_s > ENDPOINT_TIMEOUT_S:
+                    self._unanswered(entry)
+
+    def _unanswered(self, entry: endpoint_flows.EndpointFlow) -> None:
+        self._unanswered_in_row += 1
+        if self._unanswered_in_row == SILENT_AFTER:
+            self._admission.silent = True
+            _log.warning(
+                "the endpoint does not answer openings",
+                unanswered=self._unanswered_in_row,
+            )
+        del self.flows.unanswered_by_key[entry.flow]
+        message = frames.Open(
+            entry.number,
+            entry.origin_host,
+            self.settings.service,
+            self._keeper.view.configuration.version,
+            self._keeper.view.revision,
+            list(entry.tried_hosts),
+            list(entry.spare_hosts),
+        )
+        packet = entry.opening
+        self.flows.forget(entry)
+        self._pass_on(message, packet, "no answer from the endpoint")
+
+    # Packets of callers
+
+    def _on_data(self, message: frames.Data, data: bytes, host: str) -> None:
+        packet = self._codec.decode(data)
+        if packet is None:
+            return
+        now_s = anyio.current_time()
+        self._heard_s_by_host[host] = now_s
+        flow = packet.flow_from_caller()
+        entry = self.flows.flow_by_key.get(flow)
+        if entry is None:
+            if not self._may_hold(message, packet):
+                self._return(host, data)
+                return
+            # The endpoint knows flows from before this process started.
+            entry = self.flows.add(flow)
+            entry.established = True
+            entry.answered = True
+        elif self._answers_another(entry, packet):
+            self._return(host, data)
+            return
+        entry.origin_host = host
+        self._to_endpoint(entry, packet)
+
+    def _may_hold(
+        self, message: frames.Data, packet: segment.Segment
+    ) -> bool:
+        services = self._keeper.services_of(packet.destination)
+        if self._keeper.view.loaded and self.settings.service not in services:
+            return False
+        return not packet.opening and (message.owned or self._is_young())
+
+    def _is_young(self) -> bool:
+        """Tell whether flows from before this process may still be open."""
+        age_s = anyio.current_time() - self._started_s
+        return age_s < self.settings.bounds.flow_lifetime_s
+
+    @staticmethod
+    def _answers_another(
+        entry: endpoint_flows.EndpointFlow, packet: segment.Segment
+    ) -> bool:
+        """Tell whether a caller opened the flow at another endpoint."""
+        if entry.established or packet.opening or not packet.ack:
+            return False
+        if entry.endpoint_sequence < 0:
+            return True
+        ahead = (packet.acknowledged - entry.endpoint_sequence) & MASK
+        return ahead > 1
+
+    def _return(self, host: str, data: bytes) -> None:
+        self._metrics.count(NOT_HELD)
+        self._peers.send(host, frames.NotHeld(self.settings.host), data)
+
+    def _to_endpoint(
+        self, entry: endpoint_flows.EndpointFlow, packet: segment.Segment
+    ) -> None:
+        entry.seen_s = anyio.current_time()
+        if packet.ack:
+            entry.acknowledged = packet.acknowledged
+        if not packet.opening:
+            entry.established = True
+        if packet.data_bytes:
+            self.flows.begin_request(entry, self._slots())
+        if packet.rst:
+            self.flows.end(entry)
+        elif packet.fin:
+            entry.caller_done = True
+            if entry.endpoint_done:
+                self.flows.end(entry)
+        self._send_to_endpoint(packet.raw)
+
+    def _send_to_endpoint(self, data: bytes) -> None:
+        self._port.send(data, self.settings.endpoint)
+
+    def _on_lookup(
+        self, message: frames.Lookup, _: bytes, host: str
+    ) -> None:
+        flow = segment.Flow(*message.flow)
+        entry = self.flows.flow_by_key.get(flow)
+        if entry is None:
+            answer = "maybe" if self._is_young() else "no"
+        elif entry.established or message.acknowledged == 0:
+            answer = "holds"
+        elif entry.endpoint_sequence < 0:
+            # Only a copy of the opening belongs here: it counts copies where
+            # other packets acknowledge a position.
+            answer = "holds" if message.acknowledged < 8 else "no"
+        else:
+            ahead = (message.acknowledged - entry.endpoint_sequence) & MASK
+            small = message.acknowledged < 8
+            answer = "holds" if ahead <= 1 or small else "no"
+        self._peers.send(
+            host, frames.Holder(message.lookup, self.settings.host, answer)
+        )
+
+    # Packets of the endpoint
+
+    def handle_outbound(self, data: bytes) -> None:
+        """Send on one packet of the endpoint."""
+        packet = self._codec.decode(data)
+        if packet is None:
+            return
+        if packet.bounced:
+            self._on_bounced(packet)
+            return
+        self._endpoint_answered()
+        flow = packet.flow_from_endpoint()
+        entry = self.flows.flow_by_key.get(flow)
+        if entry is None:
+            entry = self.flows.add(flow)
+            entry.established = not packet.syn
+            entry.answered = True
+        entry.seen_s = anyio.current_time()
+        if packet.syn:
+            entry.answered = True
+            entry.endpoint_sequence = packet.sequence
+            self.flows.unanswered_by_key.pop(flow, None)
+        if packet.data_bytes:
+            self.flows.end_request(entry, answered=True)
+        if packet.rst:
+            self.flows.end(entry)
+        elif packet.fin:
+            entry.endpoint_done = True
+            self.flows.end_request(entry, answered=False)
+            if entry.caller_done:
+                self.flows.end(entry)
+        self._metrics.count(TO_CALLER)
+        self._peers.send_raw(data, entry.caller_address)
+
+    def _endpoint_answered(self) -> None:
+        self._unanswered_in_row = 0
+        if self._admission.silent:
+            self._admission.silent = False
+            _log.info("the endpoint answers again")
+
+    def _on_bounced(self, packet: segment.Segment) -> None:
+        self._metrics.count(BOUNCED)
+        self._endpoint_answered()
+        flow = packet.flow_from_caller()
+        entry = self.flows.flow_by_key.get(flow)
+        if entry is None:
+            return
+        if packet.opening:
+            if flow in self.flows.unanswered_by_key:
+                self._unanswered(entry)
+            return
+        origin = entry.origin_host
+        was_here = entry.endpoint_sequence >= 0
+        self.flows.forget(entry)
+        _log.limited(
+            "bounced",
+            "the endpoint does not hold a flow",
+            flow=str(flow),
+            opened_here=was_here,
+        )
+        if was_here and entry.idempotent and packet.data_bytes == 0:
+            return
+        if not was_here and origin:
+            self._return(origin, self._codec.restored(packet))
+
+    # Reports
+
+    async def _report_regularly(self) -> None:
+        while True:
+            await anyio.sleep(REPORT_INTERVAL_S)
+            report = self.report()
+            if report == self._reported:
+                continue
+            self._reported = report
+            self.send_report(report)
+
+    def send_report(self, report: frames.Report) -> None:
+        """Send a report to the balancers that are in contact."""
+        oldest_s = anyio.current_time() - AUDIENCE_S
+        for host, heard_s in list(self._heard_s_by_host.items()):
+            if heard_s < oldest_s:
+                del self._heard_s_by_host[host]
+        hosts = sorted(
+            self._heard_s_by_host,
+            key=self._heard_s_by_host.__getitem__,
+            reverse=True,
+        )
+        message = frames.Load(report)
+        for host in hosts[:MAX_AUDIENCE]:
+            self._peers.send(host, message)
+
+    async def _purge(self) -> None:
+        while True:
+            await anyio.sleep(PURGE_INTERVAL_S)
+            self.flows.purge(self._keeper.view.configuration.idle_s)
--- /dev/null
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -0,0 +1,131 @@
+"""The flows of one endpoint, as its agent sees both directions of them."""
+
+import dataclasses
+
+import anyio
+
+from bramleypin.internal.stream import segment
+
+# Packets may still arrive for a flow that has ended; the endpoint answers
+# them, so the agent remembers the flow for as long as its peers send again
+# (8 times, up to 1.6 s apart).
+LINGER_S = 10.0
+# A caller gives an opening up after 1.4 s.
+HALF_OPEN_S = 3.0
+# Weight of a new sample in the mean service time.
+SAMPLE_WEIGHT = 0.1
+MAX_FLOWS = 65_536
+
+
+@dataclasses.dataclass(slots=True)
+class EndpointFlow:
+    """One flow. ``opening`` is kept until the endpoint accepts it.
+
+    ``origin_host`` is the balancer that offered the opening, ``answered``
+    whether the endpoint has sent its SYN+ACK, ``endpoint_sequence`` that
+    packet's position. ``busy_since_s`` is when the endpoint got a request
+    that it has not answered. ``sampled`` marks a request that found a free
+    slot, so that its duration tells the endpoint's speed.
+    """
+
+    flow: segment.Flow
+    caller_address: tuple[str, int]
+    created_s: float
+    seen_s: float
+    opening: bytes = b""
+    origin_host: str = ""
+    number: int = 0
+    spare_hosts: tuple[str, ...] = ()
+    tried_hosts: tuple[str, ...] = ()
+    offered_s: float = 0.0
+    answered: bool = False
+    endpoint_sequence: int = -1
+    established: bool = False
+    busy_since_s: float | None = None
+    sampled: bool = False
+    acknowledged: int = 0
+    caller_done: bool = False
+    endpoint_done: bool = False
+    ended_s: float | None = None
+    idempotent: bool = False
+
+
+class EndpointFlows:
+    """The table of flows, with the load that follows from it.
+
+    ``running`` is the number of requests at the endpoint, ``open_count``
+    the number of flows that have not ended. ``service_time_s`` is 0 until
+    the first request has been answered.
+    """
+
+    def __init__(self, caller_port: int):
+        self.flow_by_key: dict[segment.Flow, EndpointFlow] = {}
+        self.unanswered_by_key: dict[segment.Flow, EndpointFlow] = {}
+        self.running = 0
+        self.open_count = 0
+        self.service_time_s = 0.0
+        self._caller_port = caller_port
+
+    def add(self, key: segment.Flow) -> EndpointFlow:
+        """Add a flow; the caller's address is worked out once."""
+        now_s = anyio.current_time()
+        address = (segment.host_text(key.caller_host), self._caller_port)
+        entry = EndpointFlow(key, address, now_s, now_s)
+        self.flow_by_key[key] = entry
+        self.open_count += 1
+        return entry
+
+    def begin_request(self, entry: EndpointFlow, slots: int) -> None:
+        """Note that the endpoint got a request of this flow."""
+        if entry.busy_since_s is None and entry.ended_s is None:
+            entry.sampled = self.running < slots
+            entry.busy_since_s = anyio.current_time()
+            self.running += 1
+
+    def end_request(self, entry: EndpointFlow, answered: bool) -> None:
+        """Note that the endpoint has answered, or never will."""
+        if entry.busy_since_s is None:
+            return
+        self.running -= 1
+        duration_s = anyio.current_time() - entry.busy_since_s
+        entry.busy_since_s = None
+        if not answered or not entry.sampled:
+            return
+        if not self.service_time_s:
+            self.service_time_s = duration_s
+        change_s = duration_s - self.service_time_s
+        self.service_time_s += SAMPLE_WEIGHT * change_s
+
+    def end(self, entry: EndpointFlow) -> None:
+        """Note that a flow has ended; it lingers for late packets."""
+        if entry.ended_s is None:
+            entry.ended_s = anyio.current_time()
+            self.open_count -= 1
+            self.end_request(entry, answered=False)
+        self.unanswered_by_key.pop(entry.flow, None)
+
+    def forget(self, entry: EndpointFlow) -> None:
+        """Remove a flow, for example one that another agent now opens."""
+        self.end(entry)
+        self.flow_by_key.pop(entry.flow, None)
+
+    def purge(self, idle_s: float) -> None:
+        """Remove flows that ended, were never opened or have been idle."""
+        now_s = anyio.current_time()
+        for entry in list(self.flow_by_key.values()):
+            if entry.ended_s is not None:
+                expired = now_s - entry.ended_s > LINGER_S
+            elif not entry.established:
+                expired = now_s - entry.seen_s > HALF_OPEN_S
+            else:
+                expired = now_s - entry.seen_s > idle_s
+            if expired:
+                self.forget(entry)
+
+    def live(self) -> list[EndpointFlow]:
+        """Return the established flows that have not ended."""
+        return [
+            entry
+            for entry in self.flow_by_key.values()
+            if entry.established and entry.ended_s is None
+        ]
--- /dev/null
+++ b/src/bramleypin/internal/stream/leaving.py
@@ -0,0 +1,65 @@
+"""What a daemon does between SIGTERM and its end."""
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+
+# The fabric asks twice a second and takes a daemon out after two misses.
+OUT_OF_ROTATION_S = 1.3
+QUIET_S = 0.3
+POLL_S = 0.05
+# Left of the grace period for closing ports.
+RESERVE_S = 0.7
+
+_log = logs.get("leaving")
+
+
+@kernel_module.service(
+    "leaving_balancer",
+    roles=("stream_balancer",),
+    needs=("balancer", "readiness"),
+)
+class LeavingBalancer(kernel_module.Service):
+    """Leaves the rotation first, and routes packets until none arrive."""
+
+    async def drain(self) -> None:
+        """Wait until callers' packets go to other balancers."""
+        self.kernel.get("readiness").leaving = True
+        balancer = self.kernel.get("balancer")
+        grace_s = self.kernel.settings.bounds.shutdown_grace_s - RESERVE_S
+        started_s = anyio.current_time()
+        while True:
+            await anyio.sleep(POLL_S)
+            now_s = anyio.current_time()
+            quiet = now_s - balancer.last_packet_s > QUIET_S
+            if now_s - started_s > OUT_OF_ROTATION_S and quiet:
+                break
+            if now_s - started_s > grace_s:
+                break
+        _log.info("leaving", after_s=round(now_s - started_s, 3))
+
+
+@kernel_module.service(
+    "leaving_agent", roles=("stream_agent",), needs=("agent", "readiness")
+)
+class LeavingAgent(kernel_module.Service):
+    """Takes no new flow, and carries the open ones until they end."""
+
+    async def drain(self) -> None:
+        """Wait until no flow is open."""
+        agent = self.kernel.get("agent")
+        self.kernel.get("readiness").leaving = True
+        self.kernel.get("stream_admission").leaving = True
+        grace_s = self.kernel.settings.bounds.shutdown_grace_s - RESERVE_S
+        started_s = anyio.current_time()
+        agent.send_report(agent.report())
+        open_flows = 0
+        with anyio.move_on_after(grace_s):
+            while True:
+                await anyio.sleep(POLL_S)
+                open_flows = len(agent.flows.live())
+                if not open_flows and not agent.flows.unanswered_by_key:
+                    break
+        after_s = anyio.current_time() - started_s
+        _log.info("leaving", after_s=round(after_s, 3), open_flows=open_flows)
--- /dev/null
+++ b/src/bramleypin/internal/stream/loads.py
@@ -0,0 +1,168 @@
+"""What a balancer knows of the agents' load, and the choice among them."""
+
+import dataclasses
+import typing
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal import registry
+from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import view as view_module
+
+# An agent that did not answer is asked last for this long.
+SUSPECT_S = 1.0
+# Until an agent has reported one, a request is taken to last this long.
+UNKNOWN_SERVICE_TIME_S = 0.05
+# A report counts fully until the next one is due.
+REPORT_AGE_S = 1.0
+# An endpoint of another failure domain is chosen when it is expected to
+# answer earlier by this part of the latency objective; traffic between
+# failure domains is charged.
+REMOTE_PENALTY = 0.35
+# Two balancers with the same reports should not choose the same endpoint.
+JITTER = 0.1
+# Number of agents that an opening may be offered to.
+MAX_CANDIDATES = 5
+
+_log = logs.get("loads")
+
+Score = typing.Callable[["AgentLoad", view_module.Route, bool], float]
+SCORES: registry.Registry[Score] = registry.Registry("placement of flows")
+
+
+@dataclasses.dataclass(slots=True)
+class AgentLoad:
+    """The latest report of an agent, and what was sent to it since."""
+
+    slots: int
+    running: int = 0
+    service_time_s: float = 0.0
+    room: int = -1
+    state: str = "ready"
+    reported_s: float = float("-inf")
+    sent_since: int = 0
+    suspect_until_s: float = float("-inf")
+
+
+@SCORES.register("expected_time")
+def expected_time(
+    load: AgentLoad, route: view_module.Route, local: bool
+) -> float:
+    """Return the expected time to an answer, in seconds.
+
+    With all slots taken, a request waits for the work that is queued before
+    it. Distance counts as time, in proportion to the latency objective.
+    """
+    service_time_s = load.service_time_s or UNKNOWN_SERVICE_TIME_S
+    running = load.running + load.sent_since
+    queued = max(0, running + 1 - load.slots)
+    expected_s = service_time_s * (1 + queued / load.slots)
+    # Among endpoints with free slots the less loaded one has more left when
+    # other balancers choose it too.
+    expected_s += service_time_s * 0.2 * min(1.0, running / load.slots)
+    return expected_s + (0.0 if local else REMOTE_PENALTY * route.target_s)
+
+
+@kernel_module.service(
+    "loads", roles=("stream_balancer",), needs=("view", "peer_port")
+)
+class Loads(kernel_module.Service):
+    """Ranks the endpoints that may get a new flow."""
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self.load_by_host: dict[str, AgentLoad] = {}
+        self._keeper = kernel.get("view")
+        self._random = kernel.environment.random
+        self._domain = kernel.settings.failure_domain
+        kernel.get("peer_port").on(frames.Load, self._on_load)
+
+    def _on_load(self, message: frames.Load, _: bytes, host: str) -> None:
+        self.learn(message.report, host)
+
+    def learn(self, report: frames.Report, host: str) -> None:
+        """Take a report; an agent speaks for its own host only."""
+        if report.host != host:
+            return
+        load = self._load(host, report.slots)
+        load.slots = max(1, report.slots)
+        load.running = report.running
+        load.service_time_s = report.service_time_s
+        load.room = report.room
+        if load.state != report.state:
+            _log.info(
+                "agent state",
+                host=host,
+                state=report.state,
+                before=load.state,
+                revision=report.revision,
+            )
+        load.state = report.state
+        load.reported_s = anyio.current_time()
+        load.sent_since = 0
+        load.suspect_until_s = float("-inf")
+
+    def sent(self, host: str) -> None:
+        """Count an opening that a later report will include."""
+        load = self.load_by_host.get(host)
+        if load is not None:
+            load.sent_since += 1
+            if load.room > 0:
+                load.room -= 1
+
+    def suspect(self, host: str) -> None:
+        """Ask an agent that did not answer last for a while."""
+        load = self._load(host, 1)
+        now_s = anyio.current_time()
+        if load.suspect_until_s < now_s:
+            _log.info(
+                "agent did not answer",
+                host=host,
+                report_age_s=round(now_s - load.reported_s, 3),
+            )
+        load.suspect_until_s = now_s + SUSPECT_S
+
+    def _load(self, host: str, slots: int) -> AgentLoad:
+        load = self.load_by_host.get(host)
+        if load is None:
+            load = self.load_by_host[host] = AgentLoad(slots=slots)
+        return load
+
+    def rank(self, service: str, route: view_module.Route) -> list[str]:
+        """Return the hosts to offer a new flow to, the best one first.
+
+        Endpoints that drain, or whose failure domain is out of service, are
+        left out. Suspects and those without room come last.
+        """
+        view = self._keeper.view
+        now_s = anyio.current_time()
+        score = SCORES.get("expected_time")
+        ranked: list[tuple[int, float, str]] = []
+        for host, endpoint in view.endpoint_by_host(service).items():
+            if endpoint.draining:
+                continue
+            if endpoint.failure_domain in view.domains_out:
+                continue
+            load = self._load(host, endpoint.slots)
+            local = endpoint.failure_domain == self._domain
+            if now_s - load.reported_s > REPORT_AGE_S:
+                load.running, load.sent_since, load.room = 0, 0, -1
+                load.slots = endpoint.slots
+            value = score(load, route, local)
+            value *= 1 + JITTER * self._random.random()
+            ranked.append((self._grade(load, now_s), value, host))
+        ranked.sort()
+        return [host for _, _, host in ranked[:MAX_CANDIDATES]]
+
+    def _grade(self, load: AgentLoad, now_s: float) -> int:
+        if load.state == "leaving":
+            return 4
+        if load.state == "silent":
+            return 3
+        if load.suspect_until_s > now_s:
+            return 2
+        if load.room == 0:
+            return 1
+        return 0
--- /dev/null
+++ b/src/bramleypin/internal/stream/openings.py
@@ -0,0 +1,200 @@
+"""Opens flows: offers the opening packet to one agent after the other."""
+
+import dataclasses
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import view as view_module
+
+# An agent answers within two network delays; it is asked only once, as the
+# caller's own copies and the next agent cover a lost frame.
+ANSWER_TIMEOUT_S = 0.04
+TICK_S = 0.01
+# A caller gives an opening up after 1.4 s.
+MAX_AGE_S = 1.2
+# Packets of a flow that wait until its opening is decided.
+MAX_WAITING = 8
+
+OPENED = metrics.declare(
+    "stream.openings_taken", "counter", "flows", "Openings an agent took."
+)
+REFUSED = metrics.declare(
+    "stream.openings_refused",
+    "counter",
+    "flows",
+    "Openings reset, because no endpoint could take them.",
+)
+UNANSWERED = metrics.declare(
+    "stream.openings_unanswered",
+    "counter",
+    "offers",
+    "Offers of an opening that an agent did not answer in time.",
+)
+
+_log = logs.get("openings")
+
+
+@dataclasses.dataclass(slots=True)
+class Opening:
+    """An opening that no agent has taken yet."""
+
+    number: int
+    flow: segment.Flow
+    packet: bytes
+    sequence: int
+    service: str
+    route: view_module.Route
+    started_s: float
+    due_s: float = 0.0
+    host: str = ""
+    tried_hosts: list[str] = dataclasses.field(default_factory=list)
+    waiting: list[segment.Segment] = dataclasses.field(default_factory=list)
+
+
+@kernel_module.service(
+    "openings",
+    roles=("stream_balancer",),
+    needs=("view", "peer_port", "loads", "metrics"),
+)
+class Openings(kernel_module.Service):
+    """Holds the openings in progress.
+
+    ``on_taken(opening, host)`` and ``on_refused(opening)`` are set by the
+    balancer, which owns the flows.
+    """
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self.opening_by_flow: dict[segment.Flow, Opening] = {}
+        self._flow_by_number: dict[int, segment.Flow] = {}
+        self._number = kernel.environment.random.getrandbits(31)
+        self._keeper = kernel.get("view")
+        self._peers = kernel.get("peer_port")
+        self._loads = kernel.get("loads")
+        self._metrics = kernel.get("metrics")
+        self._wake = anyio.Event()
+        self._peers.on(frames.Opened, self._on_opened)
+
+    def begin(
+        self, packet: segment.Segment, route: view_module.Route
+    ) -> Opening:
+        """Offer an opening packet to the endpoint that is best for it."""
+        flow = packet.flow_from_caller()
+        self._number = (self._number + 1) & 0x7FFFFFFF
+        opening = Opening(
+            number=self._number,
+            flow=flow,
+            packet=packet.raw,
+            sequence=packet.acknowledged,
+            service=route.service_for(flow),
+            route=route,
+            started_s=anyio.current_time(),
+        )
+        self.opening_by_flow[flow] = opening
+        self._flow_by_number[opening.number] = flow
+        self._offer(opening)
+        if not self._wake.is_set():
+            self._wake.set()
+        return opening
+
+    def _offer(self, opening: Opening) -> None:
+        hosts = [
+            host
+            for host in self._loads.rank(opening.service, opening.route)
+            if host not in opening.tried_hosts
+        ]
+        now_s = anyio.current_time()
+        if not hosts or now_s - opening.started_s > MAX_AGE_S:
+            self._refuse(opening, "no endpoint left")
+            return
+        view = self._keeper.view
+        opening.host = hosts[0]
+        opening.due_s = now_s + ANSWER_TIMEOUT_S
+        self._peers.send(
+            opening.host,
+            frames.Open(
+                opening.number,
+                self.kernel.settings.host,
+                opening.service,
+                view.configuration.version,
+                view.revision,
+                opening.tried_hosts,
+                hosts[1:],
+            ),
+            opening.packet,
+        )
+        opening.tried_hosts.append(opening.host)
+        self._loads.sent(opening.host)
+
+    def _on_opened(
+        self, message: frames.Opened, _: bytes, host: str
+    ) -> None:
+        self._loads.learn(message.report, host)
+        flow = self._flow_by_number.get(message.opening)
+        opening = self.opening_by_flow.get(flow) if flow else None
+        if opening is None:
+            return
+        if message.outcome == "taken":
+            self._end(opening)
+            self._metrics.count(OPENED)
+            _log.debug(
+                "opening taken",
+                flow=str(flow),
+                host=host,
+                tried=len(opening.tried_hosts),
+                revision=self._keeper.view.revision,
+            )
+            self.on_taken(opening, host)
+        elif message.outcome == "passed":
+            opening.host = message.reason
+            opening.tried_hosts.append(message.reason)
+            opening.due_s = anyio.current_time() + ANSWER_TIMEOUT_S
+        elif message.outcome == "refused":
+            _log.limited(
+                "refused",
+                "an agent refused an opening",
+                flow=str(flow),
+                host=host,
+                reason=message.reason,
+            )
+            self._offer(opening)
+
+    def _refuse(self, opening: Opening, reason: str) -> None:
+        self._end(opening)
+        self._metrics.count(REFUSED)
+        _log.limited(
+            f"reset {opening.service}",
+            "opening reset",
+            flow=str(opening.flow),
+            reason=reason,
+            tried=",".join(opening.tried_hosts),
+            revision=self._keeper.view.revision,
+        )
+        self.on_refused(opening)
+
+    def _end(self, opening: Opening) -> None:
+        self.opening_by_flow.pop(opening.flow, None)
+        self._flow_by_number.pop(opening.number, None)
+
+    async def run(self) -> None:
+        """Offer openings that were not answered to the next agent."""
+        while True:
+            if not self.opening_by_flow:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            await anyio.sleep(TICK_S)
+            now_s = anyio.current_time()
+            late = [
+                opening
+                for opening in self.opening_by_flow.values()
+                if opening.due_s <= now_s
+            ]
+            for opening in late:
+                self._metrics.count(UNANSWERED)
+                self._loads.suspect(opening.host)
+                self._offer(opening)
--- /dev/null
+++ b/src/bramleypin/internal/stream/owners.py
@@ -0,0 +1,167 @@
+"""Finds the agent that holds a flow, by asking those of its service."""
+
+import dataclasses
+import typing
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import segment
+
+# Two network delays between failure domains, and the time of a busy agent.
+ANSWER_TIMEOUT_S = 0.04
+TICK_S = 0.01
+MAX_WAITING = 16
+# Packets of a flow that nobody holds start a new search after this time; the
+# caller sends again after 0.2 s.
+UNKNOWN_S = 0.15
+MAX_UNKNOWN = 10_000
+
+FOUND = metrics.declare(
+    "stream.lookups_found", "counter", "flows", "Searches with an owner."
+)
+LOST = metrics.declare(
+    "stream.lookups_lost", "counter", "flows", "Searches without an owner."
+)
+
+_log = logs.get("owners")
+
+
+@dataclasses.dataclass(slots=True)
+class Search:
+    """A search in progress; ``maybe_hosts`` cannot rule the flow out."""
+
+    number: int
+    flow: segment.Flow
+    due_s: float
+    asked: int
+    opening: segment.Segment | None
+    waiting: list[segment.Segment]
+    maybe_hosts: list[str] = dataclasses.field(default_factory=list)
+    answered: int = 0
+
+
+Found = typing.Callable[[Search, str, list[str]], None]
+Lost = typing.Callable[[Search], None]
+
+
+@kernel_module.service(
+    "owners",
+    roles=("stream_balancer",),
+    needs=("view", "peer_port", "loads", "metrics"),
+)
+class Owners(kernel_module.Service):
+    """Searches the owners of flows that this balancer does not know.
+
+    ``on_found(search, host, others)`` and ``on_lost(search)`` are set by the
+    balancer. ``others`` are hosts to try when ``host`` does not hold it.
+    """
+
+    on_found: Found
+    on_lost: Lost
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self.search_by_flow: dict[segment.Flow, Search] = {}
+        self._flow_by_number: dict[int, segment.Flow] = {}
+        self._unknown_until_by_flow: dict[segment.Flow, float] = {}
+        self._number = kernel.environment.random.getrandbits(31)
+        self._keeper = kernel.get("view")
+        self._peers = kernel.get("peer_port")
+        self._loads = kernel.get("loads")
+        self._metrics = kernel.get("metrics")
+        self._wake = anyio.Event()
+        self._peers.on(frames.Holder, self._on_holder)
+
+    def search(self, packet: segment.Segment) -> None:
+        """Search the owner of a caller's packet, or add it to a search."""
+        flow = packet.flow_from_caller()
+        known = self.search_by_flow.get(flow)
+        if known is not None:
+            if packet.opening:
+                known.opening = packet
+            elif len(known.waiting) < MAX_WAITING:
+                known.waiting.append(packet)
+            return
+        now_s = anyio.current_time()
+        if self._unknown_until_by_flow.get(flow, now_s) > now_s:
+            return
+        hosts = self._hosts(packet.destination)
+        self._number = (self._number + 1) & 0x7FFFFFFF
+        search = Search(
+            number=self._number,
+            flow=flow,
+            due_s=now_s + ANSWER_TIMEOUT_S,
+            asked=len(hosts),
+            opening=packet if packet.opening else None,
+            waiting=[] if packet.opening else [packet],
+        )
+        self.search_by_flow[flow] = search
+        self._flow_by_number[search.number] = flow
+        message = frames.Lookup(search.number, flow, packet.acknowledged)
+        for host in hosts:
+            self._peers.send(host, message)
+        self._wake.set()
+
+    def _hosts(self, destination: tuple[int, int]) -> list[str]:
+        services = self._keeper.services_of(destination)
+        hosts: dict[str, None] = {}
+        for endpoint in self._keeper.view.endpoint_by_id.values():
+            if endpoint.service in services:
+                hosts[endpoint.host] = None
+        return list(hosts)
+
+    def _on_holder(self, message: frames.Holder, _: bytes, host: str) -> None:
+        flow = self._flow_by_number.get(message.lookup)
+        search = self.search_by_flow.get(flow) if flow else None
+        if search is None:
+            return
+        search.answered += 1
+        if message.answer == "holds":
+            self._end(search)
+            self._metrics.count(FOUND)
+            self.on_found(search, host, [])
+            return
+        if message.answer == "maybe":
+            search.maybe_hosts.append(host)
+        if search.answered >= search.asked:
+            self._conclude(search)
+
+    def _conclude(self, search: Search) -> None:
+        self._end(search)
+        if search.maybe_hosts and search.waiting:
+            first, *others = search.maybe_hosts
+            self.on_found(search, first, others)
+            return
+        self._metrics.count(LOST)
+        if len(self._unknown_until_by_flow) >= MAX_UNKNOWN:
+            self._unknown_until_by_flow.clear()
+        until_s = anyio.current_time() + UNKNOWN_S
+        self._unknown_until_by_flow[search.flow] = until_s
+        _log.debug(
+            "no agent holds the flow",
+            flow=str(search.flow),
+            asked=search.asked,
+            answered=search.answered,
+            revision=self._keeper.view.revision,
+        )
+        self.on_lost(search)
+
+    def _end(self, search: Search) -> None:
+        self.search_by_flow.pop(search.flow, None)
+        self._flow_by_number.pop(search.number, None)
+
+    async def run(self) -> None:
+        """Conclude searches that some agents did not answer."""
+        while True:
+            if not self.search_by_flow:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            await anyio.sleep(TICK_S)
+            now_s = anyio.current_time()
+            for search in list(self.search_by_flow.values()):
+                if search.due_s <= now_s:
+                    self._conclude(search)
--- /dev/null
+++ b/src/bramleypin/internal/stream/program.py
@@ -0,0 +1,67 @@
+"""Runs a daemon that carries stream flows."""
+
+import dataclasses
+import random
+import signal
+import typing
+
+import anyio
+
+from bramleypin.internal import address
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.net import datagram
+from bramleypin.internal.net import environment
+from bramleypin.internal.observe import logs
+from bramleypin.internal import services
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import settings as stream_settings
+from bramleypin.internal.stream import view
+
+_log = logs.get("kernel")
+
+
+@dataclasses.dataclass
+class StreamEnvironment:
+    """The outside interfaces of a daemon that carries stream flows."""
+
+    open_datagram_port: typing.Callable[
+        [address.Address], typing.Awaitable[environment.DatagramPort]
+    ]
+    platform: view.ViewSource
+    codec: segment.SegmentCodec
+    random: random.Random
+
+
+async def serve(
+    settings: stream_settings.StreamSettings,
+    codec: segment.SegmentCodec,
+    source: view.ViewSource,
+) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop it gracefully.
+
+    :raises errors.ServiceFailed: when one of its services fails.
+    """
+    services.load(settings.role)
+    env = StreamEnvironment(
+        datagram.open_port, source, codec, random.SystemRandom()
+    )
+    kernel = kernel_module.Kernel(settings, env)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_handle_signals, kernel)
+        _log.info("starting", role=settings.role, id=settings.id)
+        await kernel.run()
+        _log.info("stopped")
+        tasks.cancel_scope.cancel()
+
+
+async def _handle_signals(kernel: kernel_module.Kernel) -> None:
+    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*watched) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                # A machine's addresses and its failure domain are fixed; the
+                # next start reads whatever else has changed.
+                _log.info("settings apply at the next start")
+                continue
+            _log.info("draining", signal=signal.Signals(number).name)
+            kernel.shutdown()
--- /dev/null
+++ b/src/bramleypin/platform/boot.py
@@ -0,0 +1,130 @@
+"""The settings file that the platform writes for each process (JSON)."""
+
+import os
+import pathlib
+
+import msgspec
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.stream import settings as stream_settings
+
+BOOT_VARIABLE = "BRAMLEYPIN_BOOT"
+DEFAULT_BOOT_FILE = "/etc/bramleypin/node.json"
+
+READINESS_PATH = "/bramleypin/readiness"
+
+# The role of a process by what it serves.
+ROLE_BY_SERVED = {"front": "stream_balancer", "side": "stream_agent"}
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    datagram_addr: str
+    ready_addr: str
+    control: str = ""
+    outbound: str = ""
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_s: float = 6.0
+    flow_max_s: float = 60.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
+
+
+class _Boot(msgspec.Struct, frozen=True):
+    node: str
+    zone: str
+    serves: list[str]
+    listen: _Listen
+    platform: _Store
+    internal_ports: list[int]
+    seeds: list[str] = []
+    service: str = ""
+    app: str = ""
+    bounds: _Bounds = _Bounds()
+
+
+def _port_of(text: str) -> address.Address | None:
+    return address.parse(text) if text else None
+
+
+def parse(
+    data: bytes, file: str
+) -> tuple[stream_settings.StreamSettings, address.Address]:
+    """Return the settings and the address of the metadata store.
+
+    :raises errors.InvalidSettings: naming the file, key, value and remedy.
+    """
+    try:
+        boot = msgspec.json.decode(data, type=_Boot)
+    except msgspec.DecodeError as error:
+        message, _, path = str(error).partition(" - at ")
+        key = path.strip("`").removeprefix("$.") or "(file)"
+        raise errors.InvalidSettings(file, key, None, message) from error
+    roles = [
+        role for name, role in ROLE_BY_SERVED.items() if name in boot.serves
+    ]
+    if len(roles) != 1:
+        raise errors.InvalidSettings(
+            file, "serves", boot.serves, "name either front or side"
+        )
+    if not boot.internal_ports:
+        raise errors.InvalidSettings(
+            file, "internal_ports", [], "name the first and the last port"
+        )
+    try:
+        return _settings(boot, roles[0]), address.parse(boot.platform.address)
+    except errors.InvalidFrame as error:
+        raise errors.InvalidSettings(
+            file, "listen", str(error), "write an IPv4 address and a port"
+        ) from error
+
+
+def _settings(boot: _Boot, role: str) -> stream_settings.StreamSettings:
+    ingress = address.parse(boot.listen.datagram_addr)
+    port = boot.internal_ports[0]
+    # Every machine has the same ports, so the seeds' address for other
+    # daemons follows from their host alone.
+    seeds = (address.parse(seed).host for seed in boot.seeds)
+    return stream_settings.StreamSettings(
+        role=role,
+        id=boot.node,
+        failure_domain=boot.zone,
+        ingress=ingress,
+        peers=address.Address(ingress.host, port),
+        readiness=address.parse(boot.listen.ready_addr),
+        seeds=tuple(
+            address.Address(host, port) for host in seeds if host != ingress.host
+        ),
+        caller_port=ingress.port,
+        readiness_path=READINESS_PATH,
+        service=boot.service,
+        endpoint=_port_of(boot.app),
+        outbound=_port_of(boot.listen.outbound),
+        bounds=stream_settings.Bounds(
+            shutdown_grace_s=boot.bounds.grace_s,
+            flow_lifetime_s=boot.bounds.flow_max_s,
+            cold_factor=boot.bounds.cold_over,
+            cold_burst=boot.bounds.cold_slack,
+        ),
+    )
+
+
+def load() -> tuple[stream_settings.StreamSettings, address.Address]:
+    """Read the file that the platform's variable names.
+
+    :raises errors.InvalidSettings: when it cannot be read or is invalid.
+    """
+    file = os.environ.get(BOOT_VARIABLE, DEFAULT_BOOT_FILE)
+    try:
+        data = pathlib.Path(file).read_bytes()
+    except OSError as error:
+        raise errors.InvalidSettings(
+            file, "(file)", str(error), "name a readable file"
+        ) from error
+    return parse(data, file)
--- /dev/null
+++ b/src/bramleypin/platform/decoding.py
@@ -0,0 +1,189 @@
+"""Items of the platform's store, decoded into the project's types."""
+
+import binascii
+import typing
+
+import msgspec
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.observe import logs
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import view
+
+ENDPOINT_PREFIX = "servers/"
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+
+# Kinds of request that may be repeated.
+IDEMPOTENT_TYPES = frozenset(("safe", "download"))
+STATES = ("ready", "draining")
+
+_log = logs.get("store")
+
+
+class Item(msgspec.Struct):
+    """An item or a change of one; a ``tombstone`` marks a deletion."""
+
+    key: str
+    revision: int = 0
+    created: int = 0
+    value: str | None = None
+    tombstone: typing.Any = None
+
+
+class _Backend(msgspec.Struct, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    hostname: str
+    prefix: str
+    service: str = ""
+    backends: list[_Backend] = []
+    type: str = "unsafe"
+    timeout_ms: float = 0.0
+    target_latency_ms: float = 0.0
+    priority: int = 0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    max_conns: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    idle_timeout_ms: float = view.DEFAULT_IDLE_S * 1000
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    cold_remaining_ms: float = 0.0
+    born: int = 0
+
+
+def _body(item: Item) -> bytes:
+    return binascii.a2b_base64(item.value or "", strict_mode=True)
+
+
+def _endpoint(item: Item, now_s: float) -> view.Endpoint:
+    entry = msgspec.json.decode(_body(item), type=_Entry)
+    if entry.state not in STATES:
+        raise ValueError(f"unknown state {entry.state!r}")
+    host = address.parse(entry.address).host
+    return view.Endpoint(
+        id=item.key.removeprefix(ENDPOINT_PREFIX),
+        service=entry.service,
+        host=host,
+        failure_domain=entry.zone,
+        slots=max(1, entry.slots),
+        draining=entry.state == "draining",
+        started_ms=entry.born,
+        revision=item.revision,
+        created=item.created,
+        cold_s=entry.cold_remaining_ms / 1000,
+        seen_s=now_s,
+    )
+
+
+def _route(route: _Route) -> view.Route:
+    weights = [(item.service, item.weight) for item in route.backends]
+    if route.service:
+        weights = [(route.service, 1.0)]
+    return view.Route(
+        name=route.name,
+        host=segment.host_number(route.hostname),
+        port=int(route.prefix.strip("/")),
+        weight_by_service=tuple(weights),
+        idempotent=route.type in IDEMPOTENT_TYPES,
+        timeout_s=route.timeout_ms / 1000,
+        target_s=route.target_latency_ms / 1000,
+        priority=route.priority,
+    )
+
+
+def _configuration(item: Item) -> view.Configuration:
+    decoded = msgspec.json.decode(_body(item), type=_Configuration)
+    routes = [_route(route) for route in decoded.routes]
+    return view.Configuration(
+        version=decoded.version,
+        route_by_address={(route.host, route.port): route for route in routes},
+        service_by_name={
+            service.name: view.Service(
+                service.name,
+                service.cold_per_s,
+                service.cold_start_s,
+                service.max_conns,
+            )
+            for service in decoded.services
+        },
+        idle_s=decoded.limits.idle_timeout_ms / 1000,
+    )
+
+
+def decode(
+    items: list[Item], revision: int, now_s: float, complete: bool
+) -> view.Changes:
+    """Return what items of the store change.
+
+    An item that cannot be decoded is logged and names nothing; the others
+    hold. A registration that turns unreadable counts as removed.
+    """
+    configuration: view.Configuration | None = None
+    endpoint_by_id: dict[str, view.Endpoint] = {}
+    removed: dict[str, None] = {}
+    out_by_domain: dict[str, bool] = {}
+    for item in items:
+        present = item.value is not None and not item.tombstone
+        try:
+            if item.key.startswith(ENDPOINT_PREFIX):
+                id_ = item.key.removeprefix(ENDPOINT_PREFIX)
+                endpoint_by_id.pop(id_, None)
+                removed[id_] = None
+                if present:
+                    endpoint_by_id[id_] = _endpoint(item, now_s)
+                    removed.pop(id_)
+            elif item.key.startswith(EVACUATION_PREFIX):
+                domain = item.key.removeprefix(EVACUATION_PREFIX)
+                out_by_domain[domain] = present
+            elif item.key == CONFIGURATION_KEY and present:
+                configuration = _configuration(item)
+        except (
+            msgspec.DecodeError,
+            errors.InvalidFrame,
+            OSError,
+            ValueError,
+        ) as error:
+            _log.limited(
+                item.key,
+                "an item of the store cannot be used",
+                key=item.key,
+                revision=item.revision,
+                error=str(error)[:200],
+            )
+    return view.Changes(
+        revision=revision,
+        configuration=configuration,
+        endpoints=tuple(endpoint_by_id.values()),
+        removed_ids=tuple(removed),
+        domains_out=tuple(k for k, out in out_by_domain.items() if out),
+        domains_returned=tuple(
+            k for k, out in out_by_domain.items() if not out
+        ),
+        complete=complete,
+    )
--- /dev/null
+++ b/src/bramleypin/platform/store.py
@@ -0,0 +1,133 @@
+"""The client of the platform's store: HTTP/1.1 with JSON bodies."""
+
+import urllib.parse
+
+import anyio
+import anyio.abc
+import h11
+import msgspec
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.net import http_response
+from bramleypin.internal.stream import view
+from bramleypin.platform import decoding
+
+RANGE_PATH = "/bramleypin/kv-range"
+WATCH_PATH = "/bramleypin/kv-watch"
+# The store answers in milliseconds; while it is slow it takes up to 60 times
+# as long. A connection that stays silent for longer is given up.
+READ_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+# A page holds about 1 MB; base64 makes it larger by a third.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# A page holds at most 500 items; this bounds a listing that never ends.
+MAX_PAGES = 64
+
+
+class _Page(msgspec.Struct):
+    as_of: int
+    items: list[decoding.Item] = []
+    events: list[decoding.Item] = []
+    has_more: bool = False
+
+
+class StoreClient:
+    """Implements ``view.ViewSource``; keeps one connection open."""
+
+    def __init__(self, at: address.Address):
+        self._address = at
+        self._stream: anyio.abc.ByteStream | None = None
+        self._connection: h11.Connection | None = None
+
+    async def read(self) -> view.Changes:
+        """List everything."""
+        found: list[decoding.Item] = []
+        revision = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"prefix": ""}
+            if after:
+                query["after"] = after
+            page = await self._get(RANGE_PATH, query, READ_TIMEOUT_S)
+            # Pages are no snapshot: changes after the first page are watched.
+            revision = page.as_of if revision is None else revision
+            found += page.items
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return decoding.decode(found, revision or 0, anyio.current_time(), True)
+
+    async def watch(self, after: int, wait_s: float) -> view.Changes:
+        """Wait for changes after a revision; empty ones after ``wait_s``."""
+        query = {
+            "prefix": "",
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        page = await self._get(WATCH_PATH, query, wait_s + READ_TIMEOUT_S)
+        now_s = anyio.current_time()
+        return decoding.decode(page.events, page.as_of, now_s, False)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        stream, self._stream, self._connection = self._stream, None, None
+        if stream is not None:
+            await anyio.aclose_forcefully(stream)
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> _Page:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        try:
+            with anyio.fail_after(timeout_s):
+                status, body = await self._exchange(target)
+        except TimeoutError as error:
+            await self.aclose()
+            raise errors.PlatformUnavailable(
+                f"{path}: no answer within {timeout_s:g} s"
+            ) from error
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+            h11.ProtocolError,
+        ) as error:
+            await self.aclose()
+            raise errors.PlatformUnavailable(
+                f"{path}: {type(error).__name__}: {error}"
+            ) from error
+        except BaseException:
+            await self.aclose()
+            raise
+        if status == 410:
+            raise errors.PlatformHistoryLost(f"{path}: history discarded")
+        if status != 200:
+            raise errors.PlatformUnavailable(f"{path}: HTTP status {status}")
+        try:
+            return msgspec.json.decode(body, type=_Page)
+        except msgspec.DecodeError as error:
+            raise errors.PlatformUnavailable(f"{path}: {error}") from error
+
+    async def _exchange(self, target: str) -> tuple[int, bytes]:
+        if self._stream is None or self._connection is None:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                self._stream = await anyio.connect_tcp(*self._address)
+            self._connection = h11.Connection(h11.CLIENT)
+        stream, connection = self._stream, self._connection
+        request = h11.Request(
+            method="GET",
+            target=target,
+            headers=[("Host", str(self._address))],
+        )
+        sent = connection.send(request) + connection.send(h11.EndOfMessage())
+        await stream.send(sent)
+        status, _, body = await http_response.read(
+            connection, stream, MAX_BODY_BYTES
+        )
+        if connection.our_state is h11.DONE is connection.their_state:
+            connection.start_next_cycle()
+        else:
+            await self.aclose()
+        return status, body
