--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -9,15 +9,22 @@
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import stream_admission
 
 BURST = 64
 PURGE_INTERVAL_S = 1.0
-# The endpoint answers an opening within a millisecond.
-ENDPOINT_TIMEOUT_S = 0.06
-TICK_S = 0.02
+# The endpoint answers an opening within a millisecond, unless its machine is
+# busy.
+ENDPOINT_TIMEOUT_S = 0.03
+TICK_S = 0.01
+# A caller acknowledges the endpoint's answer at once; it sends a lost packet
+# again after 0.2 s.
+CALLER_TIMEOUT_S = 0.3
 # Openings in a row without an answer, until the endpoint counts as silent.
 SILENT_AFTER = 3
 REPORT_INTERVAL_S = 0.1
+# Balancers wait for the report that a busy endpoint has a free slot.
+BUSY_REPORT_INTERVAL_S = 0.02
 # Balancers that have sent nothing for this long get no more reports.
 AUDIENCE_S = 3.0
 # A target-size fleet has hundreds of balancers; an agent reports to some.
@@ -108,13 +115,13 @@
 
     def report(self) -> frames.Report:
         """Return what balancers need to know of the endpoint."""
-        known = self._admission.endpoint()
         return frames.Report(
             self.settings.host,
             self.settings.service,
             self.flows.running,
-            known.slots if known is not None else 1,
+            self._slots(),
             round(self.flows.service_time_s, 4),
+            self.flows.running >= stream_admission.queue_limit(self._slots()),
             self._admission.room(),
             self._admission.state(),
             self._keeper.view.revision,
@@ -133,9 +140,16 @@
             self._to_endpoint(entry, packet)
             self._answer(message, "taken", "known")
             return
-        last = not message.spare_hosts
+        if entry is not None:
+            self.flows.forget(entry)
         reason = self._admission.decide(
-            message, self.flows.running, self.flows.open_count, last
+            stream_admission.Request(
+                message,
+                self.flows.running,
+                self.flows.open_count,
+                last=not message.spare_hosts,
+                urgent=self._admission.is_urgent(packet.destination),
+            )
         )
         if reason:
             self._pass_on(message, packet.raw, reason)
@@ -146,24 +160,20 @@
         self, message: frames.Open, packet: segment.Segment, flow: segment.Flow
     ) -> None:
         self._metrics.count(TAKEN)
-        known = self.flows.flow_by_key.get(flow)
-        if known is not None:
-            self.flows.forget(known)
         entry = self.flows.add(flow)
         entry.opening = packet.raw
         entry.origin_host = message.origin_host
-        entry.number = message.opening
-        entry.spare_hosts = tuple(message.spare_hosts)
-        entry.tried_hosts = tuple(message.tried_hosts)
+        entry.offer = message
         entry.offered_s = entry.created_s
         route = self._keeper.view.configuration.route_by_address.get(
             packet.destination
         )
-        entry.idempotent = route is not None and route.idempotent
+        if route is not None:
+            entry.idempotent = route.idempotent
+            entry.budget_s = route.timeout_s
         self.flows.begin_request(entry, self._slots())
-        self.flows.unanswered_by_key[flow] = entry
+        self.flows.half_open_by_key[flow] = entry
         self._send_to_endpoint(packet.raw)
-        self._answer(message, "taken", "")
         self._wake.set()
 
     def _slots(self) -> int:
@@ -210,7 +220,7 @@
     async def _watch_openings(self) -> None:
         """Pass on openings that the endpoint does not answer."""
         while True:
-            if not self.flows.unanswered_by_key:
+            if not self.flows.half_open_by_key:
                 self._wake = anyio.Event()
                 await self._wake.wait()
             before_s = anyio.current_time()
@@ -219,9 +229,15 @@
             if now_s - before_s > ENDPOINT_TIMEOUT_S:
                 # The process stood still; answers may wait in the socket.
                 continue
-            for entry in list(self.flows.unanswered_by_key.values()):
-                if now_s - entry.offered_s > ENDPOINT_TIMEOUT_S:
+            for entry in list(self.flows.half_open_by_key.values()):
+                age_s = now_s - entry.offered_s
+                if entry.offer is not None and age_s > ENDPOINT_TIMEOUT_S:
                     self._unanswered(entry)
+                elif age_s > CALLER_TIMEOUT_S:
+                    # The caller has gone on with another endpoint or has
+                    # given up; the flow no longer counts as work.
+                    self.flows.end_request(entry, answered=False)
+                    self.flows.half_open_by_key.pop(entry.flow)
 
     def _unanswered(self, entry: endpoint_flows.EndpointFlow) -> None:
         self._unanswered_in_row += 1
@@ -231,19 +247,9 @@
                 "the endpoint does not answer openings",
                 unanswered=self._unanswered_in_row,
             )
-        del self.flows.unanswered_by_key[entry.flow]
-        message = frames.Open(
-            entry.number,
-            entry.origin_host,
-            self.settings.service,
-            self._keeper.view.configuration.version,
-            self._keeper.view.revision,
-            list(entry.tried_hosts),
-            list(entry.spare_hosts),
-        )
-        packet = entry.opening
         self.flows.forget(entry)
-        self._pass_on(message, packet, "no answer from the endpoint")
+        if entry.offer is not None:
+            self._pass_on(entry.offer, entry.opening, "endpoint is silent")
 
     # Packets of callers
 
@@ -262,7 +268,6 @@
             # The endpoint knows flows from before this process started.
             entry = self.flows.add(flow)
             entry.established = True
-            entry.answered = True
         elif self._answers_another(entry, packet):
             self._return(host, data)
             return
@@ -304,8 +309,9 @@
         entry.seen_s = anyio.current_time()
         if packet.ack:
             entry.acknowledged = packet.acknowledged
-        if not packet.opening:
+        if not packet.opening and not entry.established:
             entry.established = True
+            self.flows.half_open_by_key.pop(entry.flow, None)
         if packet.data_bytes:
             self.flows.begin_request(entry, self._slots())
         if packet.rst:
@@ -356,12 +362,12 @@
         if entry is None:
             entry = self.flows.add(flow)
             entry.established = not packet.syn
-            entry.answered = True
         entry.seen_s = anyio.current_time()
         if packet.syn:
-            entry.answered = True
             entry.endpoint_sequence = packet.sequence
-            self.flows.unanswered_by_key.pop(flow, None)
+            if entry.offer is not None:
+                self._answer(entry.offer, "taken", "")
+                entry.offer, entry.opening = None, b""
         if packet.data_bytes:
             self.flows.end_request(entry, answered=True)
         if packet.rst:
@@ -388,7 +394,7 @@
         if entry is None:
             return
         if packet.opening:
-            if flow in self.flows.unanswered_by_key:
+            if entry.offer is not None:
                 self._unanswered(entry)
             return
         origin = entry.origin_host
@@ -409,9 +415,12 @@
 
     async def _report_regularly(self) -> None:
         while True:
-            await anyio.sleep(REPORT_INTERVAL_S)
+            busy = self.flows.running >= self._slots()
+            await anyio.sleep(
+                BUSY_REPORT_INTERVAL_S if busy else REPORT_INTERVAL_S
+            )
             report = self.report()
-            if report == self._reported:
+            if report == self._reported and not report.full:
                 continue
             self._reported = report
             self.send_report(report)
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
 
 # Packets may still arrive for a flow that has ended; the endpoint answers
@@ -14,18 +15,21 @@
 HALF_OPEN_S = 3.0
 # Weight of a new sample in the mean service time.
 SAMPLE_WEIGHT = 0.1
-MAX_FLOWS = 65_536
+# Without a route that says how long a caller waits.
+DEFAULT_BUDGET_S = 10.0
 
 
 @dataclasses.dataclass(slots=True)
 class EndpointFlow:
-    """One flow. ``opening`` is kept until the endpoint accepts it.
-
-    ``origin_host`` is the balancer that offered the opening, ``answered``
-    whether the endpoint has sent its SYN+ACK, ``endpoint_sequence`` that
-    packet's position. ``busy_since_s`` is when the endpoint got a request
-    that it has not answered. ``sampled`` marks a request that found a free
-    slot, so that its duration tells the endpoint's speed.
+    """One flow.
+
+    ``offer`` and ``opening`` (the offered packet) are kept until the endpoint
+    accepts the flow. ``origin_host`` is the balancer that sent the latest
+    packet, ``endpoint_sequence`` the position in the endpoint's SYN+ACK.
+    ``busy_since_s`` is when the endpoint got a request that it has not
+    answered. ``sampled`` marks a request that found a free slot, so that its
+    duration tells the endpoint's speed. ``budget_s`` is how long a caller
+    waits for an answer.
     """
 
     flow: segment.Flow
@@ -34,11 +38,9 @@
     seen_s: float
     opening: bytes = b""
     origin_host: str = ""
-    number: int = 0
-    spare_hosts: tuple[str, ...] = ()
-    tried_hosts: tuple[str, ...] = ()
+    offer: frames.Open | None = None
     offered_s: float = 0.0
-    answered: bool = False
+    budget_s: float = DEFAULT_BUDGET_S
     endpoint_sequence: int = -1
     established: bool = False
     busy_since_s: float | None = None
@@ -53,6 +55,7 @@
 class EndpointFlows:
     """The table of flows, with the load that follows from it.
 
+    ``half_open_by_key`` holds the flows that their callers have not confirmed.
     ``running`` is the number of requests at the endpoint, ``open_count``
     the number of flows that have not ended. ``service_time_s`` is 0 until
     the first request has been answered.
@@ -60,7 +63,7 @@
 
     def __init__(self, caller_port: int):
         self.flow_by_key: dict[segment.Flow, EndpointFlow] = {}
-        self.unanswered_by_key: dict[segment.Flow, EndpointFlow] = {}
+        self.half_open_by_key: dict[segment.Flow, EndpointFlow] = {}
         self.running = 0
         self.open_count = 0
         self.service_time_s = 0.0
@@ -102,7 +105,7 @@
             entry.ended_s = anyio.current_time()
             self.open_count -= 1
             self.end_request(entry, answered=False)
-        self.unanswered_by_key.pop(entry.flow, None)
+        self.half_open_by_key.pop(entry.flow, None)
 
     def forget(self, entry: EndpointFlow) -> None:
         """Remove a flow, for example one that another agent now opens."""
@@ -121,6 +124,12 @@
                 expired = now_s - entry.seen_s > idle_s
             if expired:
                 self.forget(entry)
+            elif (
+                entry.busy_since_s is not None
+                and now_s - entry.busy_since_s > entry.budget_s
+            ):
+                # The caller has given up, with or without saying so.
+                self.end_request(entry, answered=False)
 
     def live(self) -> list[EndpointFlow]:
         """Return the established flows that have not ended."""
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -41,8 +41,9 @@
     """What an agent says of its endpoint.
 
     ``running`` requests are at the endpoint, ``slots`` run at once, one takes
-    ``service_time_s`` on average. ``room`` is how many more a cold endpoint
-    may take now, or -1 when it is not cold. ``state`` is one of ``ready``,
+    ``service_time_s`` on average. ``full`` says that it takes no more now.
+    ``room`` is how many more a cold endpoint may take now, or -1 when it is
+    not cold. ``state`` is one of ``ready``,
     ``leaving`` (no new flows) and ``silent`` (the endpoint does not answer).
     ``revision`` is that of the agent's view.
     """
@@ -52,6 +53,7 @@
     running: int
     slots: int
     service_time_s: float
+    full: bool
     room: int
     state: str
     revision: int
--- a/src/bramleypin/internal/stream/leaving.py
+++ b/src/bramleypin/internal/stream/leaving.py
@@ -59,7 +59,7 @@
             while True:
                 await anyio.sleep(POLL_S)
                 open_flows = len(agent.flows.live())
-                if not open_flows and not agent.flows.unanswered_by_key:
+                if not open_flows and not agent.flows.half_open_by_key:
                     break
         after_s = anyio.current_time() - started_s
         _log.info("leaving", after_s=round(after_s, 3), open_flows=open_flows)
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -17,14 +17,16 @@
 UNKNOWN_SERVICE_TIME_S = 0.05
 # A report counts fully until the next one is due.
 REPORT_AGE_S = 1.0
+# While it is full, an agent reports at least this often.
+FULL_AGE_S = 0.15
 # An endpoint of another failure domain is chosen when it is expected to
 # answer earlier by this part of the latency objective; traffic between
 # failure domains is charged.
 REMOTE_PENALTY = 0.35
 # Two balancers with the same reports should not choose the same endpoint.
 JITTER = 0.1
-# Number of agents that an opening may be offered to.
-MAX_CANDIDATES = 5
+# Number of agents that may pass an opening on among themselves.
+MAX_CANDIDATES = 3
 
 _log = logs.get("loads")
 
@@ -41,6 +43,7 @@
     service_time_s: float = 0.0
     room: int = -1
     state: str = "ready"
+    full: bool = False
     reported_s: float = float("-inf")
     sent_since: int = 0
     suspect_until_s: float = float("-inf")
@@ -91,6 +94,7 @@
         load.running = report.running
         load.service_time_s = report.service_time_s
         load.room = report.room
+        load.full = report.full
         if load.state != report.state:
             _log.info(
                 "agent state",
@@ -130,25 +134,38 @@
             load = self.load_by_host[host] = AgentLoad(slots=slots)
         return load
 
-    def rank(self, service: str, route: view_module.Route) -> list[str]:
-        """Return the hosts to offer a new flow to, the best one first.
+    def eligible(self, service: str) -> list[view_module.Endpoint]:
+        """Return the endpoints that may get new flows.
 
-        Endpoints that drain, or whose failure domain is out of service, are
-        left out. Suspects and those without room come last.
+        Those that drain, or whose failure domain is out of service, are not.
         """
         view = self._keeper.view
+        return [
+            endpoint
+            for endpoint in view.endpoint_by_host(service).values()
+            if not endpoint.draining
+            and endpoint.failure_domain not in view.domains_out
+        ]
+
+    def rank(
+        self, service: str, route: view_module.Route, tried_hosts: list[str]
+    ) -> list[str]:
+        """Return the hosts to offer a new flow to, the best one first.
+
+        Suspects and those without room come last.
+        """
         now_s = anyio.current_time()
         score = SCORES.get("expected_time")
         ranked: list[tuple[int, float, str]] = []
-        for host, endpoint in view.endpoint_by_host(service).items():
-            if endpoint.draining:
-                continue
-            if endpoint.failure_domain in view.domains_out:
+        for endpoint in self.eligible(service):
+            host = endpoint.host
+            if host in tried_hosts:
                 continue
             load = self._load(host, endpoint.slots)
             local = endpoint.failure_domain == self._domain
             if now_s - load.reported_s > REPORT_AGE_S:
                 load.running, load.sent_since, load.room = 0, 0, -1
+                load.full = False
                 load.slots = endpoint.slots
             value = score(load, route, local)
             value *= 1 + JITTER * self._random.random()
@@ -156,6 +173,12 @@
         ranked.sort()
         return [host for _, _, host in ranked[:MAX_CANDIDATES]]
 
+    def is_full(self, host: str) -> bool:
+        """Tell whether an agent has just reported that its queue is full."""
+        load = self.load_by_host[host]
+        age_s = anyio.current_time() - load.reported_s
+        return load.full and age_s < FULL_AGE_S
+
     def _grade(self, load: AgentLoad, now_s: float) -> int:
         if load.state == "leaving":
             return 4
@@ -163,6 +186,6 @@
             return 3
         if load.suspect_until_s > now_s:
             return 2
-        if load.room == 0:
+        if load.full or load.room == 0:
             return 1
         return 0
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -11,12 +11,20 @@
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import view as view_module
 
-# An agent answers within two network delays; it is asked only once, as the
-# caller's own copies and the next agent cover a lost frame.
-ANSWER_TIMEOUT_S = 0.04
+# An agent answers when its endpoint has accepted the flow, and passes it on
+# when the endpoint does not. It is asked only once, as the caller's own copies
+# and the next agent cover a lost frame.
+ANSWER_TIMEOUT_S = 0.06
 TICK_S = 0.01
-# A caller gives an opening up after 1.4 s.
+# A caller gives an opening up after 1.4 s, so one that waits longer than
+# this could be taken too late.
 MAX_AGE_S = 1.2
+# After all agents declined, they are asked again at this interval: slots
+# become free and restarted endpoints register within a fraction of a second.
+# A request that has missed its latency objective is worth less and asks less
+# often, so that slots go to those that can still meet theirs.
+RETRY_S = 0.03
+LATE_RETRY_S = 0.12
 # Packets of a flow that wait until its opening is decided.
 MAX_WAITING = 8
 
@@ -41,9 +49,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Opening:
-    """An opening that no agent has taken yet."""
+    """An opening that no agent has taken yet.
+
+    Each offer has a number of its own, the latest one last, so that an answer
+    to an earlier offer is not taken for one to the latest.
+    """
 
-    number: int
     flow: segment.Flow
     packet: bytes
     sequence: int
@@ -52,6 +63,7 @@
     started_s: float
     due_s: float = 0.0
     host: str = ""
+    numbers: list[int] = dataclasses.field(default_factory=list)
     tried_hosts: list[str] = dataclasses.field(default_factory=list)
     waiting: list[segment.Segment] = dataclasses.field(default_factory=list)
 
@@ -85,9 +97,7 @@
     ) -> Opening:
         """Offer an opening packet to the endpoint that is best for it."""
         flow = packet.flow_from_caller()
-        self._number = (self._number + 1) & 0x7FFFFFFF
         opening = Opening(
-            number=self._number,
             flow=flow,
             packet=packet.raw,
             sequence=packet.acknowledged,
@@ -96,29 +106,32 @@
             started_s=anyio.current_time(),
         )
         self.opening_by_flow[flow] = opening
-        self._flow_by_number[opening.number] = flow
         self._offer(opening)
         if not self._wake.is_set():
             self._wake.set()
         return opening
 
     def _offer(self, opening: Opening) -> None:
-        hosts = [
-            host
-            for host in self._loads.rank(opening.service, opening.route)
-            if host not in opening.tried_hosts
-        ]
+        hosts = self._loads.rank(
+            opening.service, opening.route, opening.tried_hosts
+        )
         now_s = anyio.current_time()
-        if not hosts or now_s - opening.started_s > MAX_AGE_S:
-            self._refuse(opening, "no endpoint left")
+        if now_s - opening.started_s > MAX_AGE_S:
+            self._refuse(opening, "no endpoint in time")
+            return
+        if not hosts or self._loads.is_full(hosts[0]):
+            self._hold(opening, now_s)
             return
+        self._number = (self._number + 1) & 0x7FFFFFFF
+        opening.numbers.append(self._number)
+        self._flow_by_number[self._number] = opening.flow
         view = self._keeper.view
         opening.host = hosts[0]
         opening.due_s = now_s + ANSWER_TIMEOUT_S
         self._peers.send(
             opening.host,
             frames.Open(
-                opening.number,
+                self._number,
                 self.kernel.settings.host,
                 opening.service,
                 view.configuration.version,
@@ -131,6 +144,16 @@
         opening.tried_hosts.append(opening.host)
         self._loads.sent(opening.host)
 
+    def _hold(self, opening: Opening, now_s: float) -> None:
+        """Ask again later, unless no endpoint may take the flow at all."""
+        opening.tried_hosts.clear()
+        if not self._loads.eligible(opening.service):
+            self._refuse(opening, "no endpoint in service")
+            return
+        opening.host = ""
+        late = now_s - opening.started_s > opening.route.target_s / 2
+        opening.due_s = now_s + (LATE_RETRY_S if late else RETRY_S)
+
     def _on_opened(
         self, message: frames.Opened, _: bytes, host: str
     ) -> None:
@@ -150,6 +173,8 @@
                 revision=self._keeper.view.revision,
             )
             self.on_taken(opening, host)
+        elif message.opening != opening.numbers[-1]:
+            return
         elif message.outcome == "passed":
             opening.host = message.reason
             opening.tried_hosts.append(message.reason)
@@ -179,7 +204,8 @@
 
     def _end(self, opening: Opening) -> None:
         self.opening_by_flow.pop(opening.flow, None)
-        self._flow_by_number.pop(opening.number, None)
+        for number in opening.numbers:
+            self._flow_by_number.pop(number, None)
 
     async def run(self) -> None:
         """Offer openings that were not answered to the next agent."""
@@ -195,6 +221,7 @@
                 if opening.due_s <= now_s
             ]
             for opening in late:
-                self._metrics.count(UNANSWERED)
-                self._loads.suspect(opening.host)
+                if opening.host:
+                    self._metrics.count(UNANSWERED)
+                    self._loads.suspect(opening.host)
                 self._offer(opening)
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -1,6 +1,9 @@
 """Decides at the endpoint whether it takes a new flow."""
 
 import collections
+import dataclasses
+import math
+import typing
 
 import anyio
 
@@ -10,21 +13,34 @@
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
-# Requests that may wait at an endpoint for each slot; more are passed on, or
-# refused when no other endpoint is left.
-QUEUE_PER_SLOT = 3
+# Requests that may wait at an endpoint for each slot. One keeps the slots
+# busy; more would only make the requests behind them late.
+QUEUE_PER_SLOT = 1.0
+# Part of the queue that is left for requests of the highest priority.
+RESERVED = 0.4
 COLD_WINDOW_S = 1.0
 
 _log = logs.get("admission")
 
 
-class Decision:
-    """Why an opening was not taken; "" when it was."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What the checks know of an opening.
 
-    TAKEN = ""
+    ``running`` and ``open_count`` are the endpoint's requests and flows,
+    ``last`` says that no other endpoint is left to ask, ``urgent`` that no
+    route of the service has a higher priority.
+    """
+
+    offer: frames.Open
+    running: int
+    open_count: int
+    last: bool
+    urgent: bool
 
 
-CHECKS: registry.Registry = registry.Registry("admission check")
+Check = typing.Callable[["StreamAdmission", Request], bool]
+CHECKS: registry.Registry[Check] = registry.Registry("admission check")
 
 
 @kernel_module.service(
@@ -56,11 +72,15 @@
         return known.get(settings.host)
 
     def cold_limit(self, endpoint: view_module.Endpoint) -> float:
-        """Return how many requests a second a cold endpoint bears."""
+        """Return how many requests a second a cold endpoint bears.
+
+        Without an announced rate there is no limit, and the service time
+        alone tells that the endpoint is slow.
+        """
         configuration = self._keeper.view.configuration
         service = configuration.service_by_name.get(endpoint.service)
-        if service is None:
-            return 0.0
+        if service is None or service.cold_per_s <= 0:
+            return math.inf
         # Half of the tolerated burst is left for packets that were sent
         # before and arrive late.
         return service.cold_per_s + self.settings.bounds.cold_burst / 2
@@ -71,21 +91,31 @@
         now_s = anyio.current_time()
         if endpoint is None or not endpoint.is_cold(now_s):
             return -1
+        limit = self.cold_limit(endpoint)
+        if math.isinf(limit):
+            return -1
         if now_s - self._started_s < COLD_WINDOW_S:
             return 0
         while self._taken_s and now_s - self._taken_s[0] > COLD_WINDOW_S:
             self._taken_s.popleft()
-        return max(0, int(self.cold_limit(endpoint)) - len(self._taken_s))
-
-    def decide(
-        self, message: frames.Open, running: int, open_count: int, last: bool
-    ) -> str:
-        """Return why an opening cannot be taken; "" when it can.
-
-        ``last`` says that no other endpoint is left to ask.
-        """
+        return max(0, int(limit) - len(self._taken_s))
+
+    def is_urgent(self, destination: tuple[int, int]) -> bool:
+        """Tell whether no route to the service has a higher priority."""
+        routes = self._keeper.view.configuration.route_by_address
+        route = routes.get(destination)
+        if route is None:
+            return False
+        service = self.settings.service
+        return not any(
+            other.priority < route.priority and other.allows(service)
+            for other in routes.values()
+        )
+
+    def decide(self, request: Request) -> str:
+        """Return why an opening cannot be taken; "" when it can."""
         for name, check in CHECKS.entry_by_name.items():
-            if check(self, message, running, open_count, last):
+            if check(self, request):
                 return name
         self._taken_s.append(anyio.current_time())
         if len(self._taken_s) > 1_024:
@@ -105,66 +135,76 @@
 
 
 @CHECKS.register("no view")
-def _no_view(admission, message, running, open_count, last) -> bool:
+def _no_view(admission: StreamAdmission, request: Request) -> bool:
     return not admission.view.loaded
 
 
 @CHECKS.register("other service")
-def _other_service(admission, message, running, open_count, last) -> bool:
-    return message.service != admission.settings.service
+def _other_service(admission: StreamAdmission, request: Request) -> bool:
+    return request.offer.service != admission.settings.service
 
 
 @CHECKS.register("leaving")
-def _leaving(admission, message, running, open_count, last) -> bool:
+def _leaving(admission: StreamAdmission, request: Request) -> bool:
     return admission.leaving
 
 
 @CHECKS.register("not registered")
-def _not_registered(admission, message, running, open_count, last) -> bool:
+def _not_registered(admission: StreamAdmission, request: Request) -> bool:
     # A balancer with a newer view may know the registration already.
-    known = admission.endpoint()
-    return known is None and message.revision <= admission.view.revision
+    older = request.offer.revision <= admission.view.revision
+    return admission.endpoint() is None and older
 
 
 @CHECKS.register("draining")
-def _draining(admission, message, running, open_count, last) -> bool:
+def _draining(admission: StreamAdmission, request: Request) -> bool:
     known = admission.endpoint()
     return known is not None and known.draining
 
 
 @CHECKS.register("failure domain out")
-def _domain_out(admission, message, running, open_count, last) -> bool:
+def _domain_out(admission: StreamAdmission, request: Request) -> bool:
     domain = admission.settings.failure_domain
     return domain in admission.view.domains_out
 
 
 @CHECKS.register("silent")
-def _silent(admission, message, running, open_count, last) -> bool:
-    return admission.silent and not last
+def _silent(admission: StreamAdmission, request: Request) -> bool:
+    return admission.silent and not request.last
 
 
 @CHECKS.register("cold")
-def _cold(admission, message, running, open_count, last) -> bool:
+def _cold(admission: StreamAdmission, request: Request) -> bool:
     return admission.room() == 0
 
 
 @CHECKS.register("no slot free")
-def _no_slot(admission, message, running, open_count, last) -> bool:
+def _no_slot(admission: StreamAdmission, request: Request) -> bool:
     known = admission.endpoint()
-    return known is not None and not last and running >= known.slots
+    if known is None or request.last:
+        return False
+    return request.running >= known.slots
 
 
 @CHECKS.register("queue full")
-def _queue_full(admission, message, running, open_count, last) -> bool:
+def _queue_full(admission: StreamAdmission, request: Request) -> bool:
     known = admission.endpoint()
     if known is None:
         return False
-    return running >= known.slots * (1 + QUEUE_PER_SLOT)
+    queue = known.slots * QUEUE_PER_SLOT
+    if not request.urgent:
+        queue *= 1 - RESERVED
+    return request.running >= known.slots + max(1.0, queue)
+
+
+def queue_limit(slots: int) -> float:
+    """Return how many requests an endpoint with these slots may hold."""
+    return slots + max(1.0, slots * QUEUE_PER_SLOT)
 
 
 @CHECKS.register("too many flows")
-def _too_many_flows(admission, message, running, open_count, last) -> bool:
+def _too_many_flows(admission: StreamAdmission, request: Request) -> bool:
     configuration = admission.view.configuration
-    service = configuration.service_by_name.get(message.service)
+    service = configuration.service_by_name.get(request.offer.service)
     limit = service.max_flows if service is not None else 0
-    return limit > 0 and open_count >= limit
+    return limit > 0 and request.open_count >= limit
