--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -26,6 +26,7 @@
     "bramleypin.internal.stream.peer_port",
     "bramleypin.internal.stream.readiness",
     "bramleypin.internal.stream.leaving",
+    "bramleypin.internal.stream.exchange",
 )
 
 MODULES_BY_ROLE: dict[str, tuple[str, ...]] = {
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -209,9 +209,7 @@
             packet,
         )
 
-    def _answer(
-        self, message: frames.Open, outcome: str, reason: str
-    ) -> None:
+    def _answer(self, message: frames.Open, outcome: str, reason: str) -> None:
         self._peers.send(
             message.origin_host,
             frames.Opened(message.opening, outcome, reason, self.report()),
@@ -274,9 +272,7 @@
         entry.origin_host = host
         self._to_endpoint(entry, packet)
 
-    def _may_hold(
-        self, message: frames.Data, packet: segment.Segment
-    ) -> bool:
+    def _may_hold(self, message: frames.Data, packet: segment.Segment) -> bool:
         services = self._keeper.services_of(packet.destination)
         if self._keeper.view.loaded and self.settings.service not in services:
             return False
@@ -325,9 +321,7 @@
     def _send_to_endpoint(self, data: bytes) -> None:
         self._port.send(data, self.settings.endpoint)
 
-    def _on_lookup(
-        self, message: frames.Lookup, _: bytes, host: str
-    ) -> None:
+    def _on_lookup(self, message: frames.Lookup, _: bytes, host: str) -> None:
         flow = segment.Flow(*message.flow)
         entry = self.flows.flow_by_key.get(flow)
         if entry is None:
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -17,6 +17,8 @@
 BURST = 64
 PURGE_INTERVAL_S = 1.0
 MAX_FLOWS = 200_000
+# Openings that wait until the first view has been read.
+MAX_EARLY = 2_000
 # Three packets of a flow that reach other endpoints within 2 s break it, so
 # at most two are sent on trial.
 MAX_TRIALS = 2
@@ -87,6 +89,9 @@
         self._owners.on_lost = self._on_lost
         self._peers.on(frames.NotHeld, self._on_not_held)
         self.last_packet_s = float("-inf")
+        self._early_by_flow: dict[
+            segment.Flow, tuple[float, segment.Segment]
+        ] = {}
 
     async def start(self) -> None:
         """Open the port that callers' packets arrive at."""
@@ -98,6 +103,7 @@
         """Read packets until the port is closed."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._purge)
+            tasks.start_soon(self._route_early)
             burst: list[tuple[bytes, tuple[str, int]]] = []
             while True:
                 burst.append(await self._port.receive())
@@ -147,6 +153,9 @@
     ) -> None:
         if not self._keeper.view.loaded:
             self._metrics.count(NO_VIEW)
+            if packet.opening and len(self._early_by_flow) < MAX_EARLY:
+                now_s = anyio.current_time()
+                self._early_by_flow.setdefault(flow, (now_s, packet))
             return
         self._metrics.count(NO_ROUTE)
         if packet.rst:
@@ -233,6 +242,16 @@
         )
         self._peers.send_raw(self._codec.reset(flow, sequence), to)
 
+    async def _route_early(self) -> None:
+        """Open the flows that were asked for before there was a view."""
+        while not self._keeper.view.loaded:
+            await self._keeper.wait_for_change()
+        oldest_s = anyio.current_time() - openings_module.MAX_AGE_S
+        early, self._early_by_flow = self._early_by_flow, {}
+        for arrived_s, packet in early.values():
+            if arrived_s > oldest_s:
+                self.handle(packet.raw)
+
     async def _purge(self) -> None:
         """Forget flows that have been idle for as long as the limit says."""
         while True:
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -21,6 +21,10 @@
 class Message(msgspec.Struct, array_like=True):
     """Base of the messages; fields are sent in the order of declaration."""
 
+    def view_revision(self) -> int:
+        """Return the revision of the sender's view; -1 when not told."""
+        return -1
+
 
 MESSAGE_BY_KIND: dict[int, type[Message]] = {}
 _KIND_BY_MESSAGE: dict[type[Message], int] = {}
@@ -76,6 +80,10 @@
     tried_hosts: list[str]
     spare_hosts: list[str]
 
+    def view_revision(self) -> int:
+        """Return the revision of the sender's view."""
+        return self.revision
+
 
 @message(2)
 class Opened(Message):
@@ -90,6 +98,10 @@
     reason: str
     report: Report
 
+    def view_revision(self) -> int:
+        """Return the revision of the sender's view."""
+        return self.report.revision
+
 
 @message(3)
 class Data(Message):
@@ -137,6 +149,10 @@
 
     report: Report
 
+    def view_revision(self) -> int:
+        """Return the revision of the sender's view."""
+        return self.report.revision
+
 
 def encode(body: Message, packet: bytes = b"") -> bytes:
     """Return a frame."""
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -154,9 +154,7 @@
         late = now_s - opening.started_s > opening.route.target_s / 2
         opening.due_s = now_s + (LATE_RETRY_S if late else RETRY_S)
 
-    def _on_opened(
-        self, message: frames.Opened, _: bytes, host: str
-    ) -> None:
+    def _on_opened(self, message: frames.Opened, _: bytes, host: str) -> None:
         self._loads.learn(message.report, host)
         flow = self._flow_by_number.get(message.opening)
         opening = self.opening_by_flow.get(flow) if flow else None
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import anyio
+
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.net import datagram
@@ -18,6 +20,7 @@
     "Datagrams of other daemons that are no frame.",
 )
 BURST = 64
+HEARD_S = 5.0
 
 Handler = typing.Callable[[typing.Any, bytes, str], None]
 
@@ -36,6 +39,9 @@
         self._handler_by_message: dict[type, Handler] = {}
         self._metrics = kernel.get("metrics")
         self._port_number = kernel.settings.peers.port
+        self.newest_revision = -1
+        self.newest_host = ""
+        self._heard_s_by_host: dict[str, float] = {}
 
     async def start(self) -> None:
         """Open the port."""
@@ -75,10 +81,34 @@
             self._metrics.count(INVALID)
             return
         self._metrics.count(RECEIVED)
+        revision = message.view_revision()
+        if revision >= 0:
+            self._heard_s_by_host[sender_host] = anyio.current_time()
+            if revision > self.newest_revision:
+                self.newest_revision = revision
+                self.newest_host = sender_host
         handler = self._handler_by_message.get(type(message))
         if handler is not None:
             handler(message, packet, sender_host)
 
+    def heard_hosts(self) -> list[str]:
+        """Return the daemons that sent something within the last seconds."""
+        oldest_s = anyio.current_time() - HEARD_S
+        stale = [
+            host
+            for host, heard_s in self._heard_s_by_host.items()
+            if heard_s < oldest_s
+        ]
+        for host in stale:
+            del self._heard_s_by_host[host]
+        return list(self._heard_s_by_host)
+
+    def forget(self, host: str) -> None:
+        """Note that a daemon cannot be reached."""
+        self._heard_s_by_host.pop(host, None)
+        if host == self.newest_host:
+            self.newest_revision, self.newest_host = -1, ""
+
     async def stop(self) -> None:
         """Close the port."""
         await self._port.aclose()
--- a/src/bramleypin/internal/stream/program.py
+++ b/src/bramleypin/internal/stream/program.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import anyio.abc
 
 from bramleypin.internal import address
 from bramleypin.internal import kernel as kernel_module
@@ -27,11 +28,28 @@
     open_datagram_port: typing.Callable[
         [address.Address], typing.Awaitable[environment.DatagramPort]
     ]
+    open_listener: typing.Callable[
+        [address.Address], typing.Awaitable[anyio.abc.Listener]
+    ]
+    open_control: typing.Callable[[], environment.ControlNetwork]
     platform: view.ViewSource
     codec: segment.SegmentCodec
     random: random.Random
 
 
+async def _open_listener(at: address.Address) -> anyio.abc.Listener:
+    return await anyio.create_tcp_listener(
+        local_host=at.host, local_port=at.port
+    )
+
+
+def _open_control() -> environment.ControlNetwork:
+    # Imported on first use: it takes a tenth of a second of processor time.
+    from bramleypin.internal.net import control
+
+    return control.WebsocketNetwork()
+
+
 async def serve(
     settings: stream_settings.StreamSettings,
     codec: segment.SegmentCodec,
@@ -43,7 +61,12 @@
     """
     services.load(settings.role)
     env = StreamEnvironment(
-        datagram.open_port, source, codec, random.SystemRandom()
+        open_datagram_port=datagram.open_port,
+        open_listener=_open_listener,
+        open_control=_open_control,
+        platform=source,
+        codec=codec,
+        random=random.SystemRandom(),
     )
     kernel = kernel_module.Kernel(settings, env)
     async with anyio.create_task_group() as tasks:
--- a/src/bramleypin/internal/stream/readiness.py
+++ b/src/bramleypin/internal/stream/readiness.py
@@ -31,9 +31,8 @@
 
     async def start(self) -> None:
         """Open the listener."""
-        at = self.kernel.settings.readiness
-        self._listener = await anyio.create_tcp_listener(
-            local_host=at.host, local_port=at.port
+        self._listener = await self.kernel.environment.open_listener(
+            self.kernel.settings.readiness
         )
 
     async def run(self) -> None:
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -83,9 +83,18 @@
     cold_s: float
     seen_s: float
 
+    def cold_left_s(self, now_s: float) -> float:
+        """Return for how long the endpoint stays cold, in seconds."""
+        return max(0.0, self.cold_s - (now_s - self.seen_s))
+
     def is_cold(self, now_s: float) -> bool:
         """Tell whether the endpoint has not finished its cold start."""
-        return now_s - self.seen_s < self.cold_s
+        return self.cold_left_s(now_s) > 0
+
+
+def with_cold(endpoint: Endpoint, cold_s: float, seen_s: float) -> Endpoint:
+    """Return an endpoint that stays cold for ``cold_s`` from ``seen_s`` on."""
+    return dataclasses.replace(endpoint, cold_s=cold_s, seen_s=seen_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -13,6 +13,8 @@
 WATCH_WAIT_S = 4.0
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.8
+# Callers wait while a daemon has no view at all.
+NO_VIEW_RETRY_S = 0.2
 # A gap of at least this length may have let registrations lapse.
 OUTAGE_S = 1.0
 
@@ -206,12 +208,13 @@
 class ViewReader(kernel_module.Service):
     """Lists the store once, then watches it."""
 
-    async def start(self) -> None:
-        """Look up the keeper."""
-        self._keeper: ViewKeeper = self.kernel.get("view")
-        self._source: view_module.ViewSource = self.kernel.environment.platform
-        self._random = self.kernel.environment.random
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self._keeper: ViewKeeper = kernel.get("view")
+        self._source: view_module.ViewSource = kernel.environment.platform
+        self._random = kernel.environment.random
         self._listed = False
+        self.failing = False
 
     async def run(self) -> None:
         """Read until cancelled; an outage only delays what follows."""
@@ -227,6 +230,7 @@
                     self._listed = False
                     continue
                 except errors.PlatformUnavailable as error:
+                    self.failing = True
                     if failed_s is None:
                         failed_s = anyio.current_time()
                         _log.warning(
@@ -235,7 +239,10 @@
                             revision=self._keeper.view.revision,
                         )
                     await anyio.sleep(retry_s * (0.5 + self._random.random()))
-                    retry_s = min(MAX_RETRY_S, 2 * retry_s)
+                    slowest_s = MAX_RETRY_S
+                    if not self._keeper.view.loaded:
+                        slowest_s = NO_VIEW_RETRY_S
+                    retry_s = min(slowest_s, 2 * retry_s)
                     continue
                 if failed_s is not None:
                     outage_s = anyio.current_time() - failed_s
@@ -243,6 +250,7 @@
                     if outage_s > OUTAGE_S:
                         self._keeper.hold_removals()
                 retry_s, failed_s = FIRST_RETRY_S, None
+                self.failing = False
                 self._keeper.contact()
                 self._keeper.apply(changes)
                 self._listed = True
--- a/src/bramleypin/platform/boot.py
+++ b/src/bramleypin/platform/boot.py
@@ -99,7 +99,9 @@
         peers=address.Address(ingress.host, port),
         readiness=address.parse(boot.listen.ready_addr),
         seeds=tuple(
-            address.Address(host, port) for host in seeds if host != ingress.host
+            address.Address(host, port)
+            for host in seeds
+            if host != ingress.host
         ),
         caller_port=ingress.port,
         readiness_path=READINESS_PATH,
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -56,7 +56,9 @@
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
-        return decoding.decode(found, revision or 0, anyio.current_time(), True)
+        return decoding.decode(
+            found, revision or 0, anyio.current_time(), True
+        )
 
     async def watch(self, after: int, wait_s: float) -> view.Changes:
         """Wait for changes after a revision; empty ones after ``wait_s``."""
