--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -142,7 +142,7 @@
                     opening.waiting.append(packet)
             return
         if packet.opening and packet.acknowledged == 0:
-            self._openings.begin(packet, route)
+            self._openings.begin(packet, route, now_s)
             return
         # A copy of an opening, or a packet that came through another
         # balancer before: an agent may hold the flow.
@@ -199,7 +199,8 @@
         configuration = self._keeper.view.configuration
         route = configuration.route_by_address.get(search.opening.destination)
         if route is not None:
-            self._openings.begin(search.opening, route)
+            arrived_s = anyio.current_time()
+            self._openings.begin(search.opening, route, arrived_s)
 
     def _on_not_held(
         self, message: frames.NotHeld, data: bytes, host: str
@@ -250,7 +251,16 @@
         early, self._early_by_flow = self._early_by_flow, {}
         for arrived_s, packet in early.values():
             if arrived_s > oldest_s:
-                self.handle(packet.raw)
+                self._begin_early(packet, arrived_s)
+
+    def _begin_early(self, packet: segment.Segment, arrived_s: float) -> None:
+        configuration = self._keeper.view.configuration
+        route = configuration.route_by_address.get(packet.destination)
+        flow = packet.flow_from_caller()
+        if route is None:
+            self._without_route(flow, packet)
+        elif flow not in self._openings.opening_by_flow:
+            self._openings.begin(packet, route, arrived_s)
 
     async def _purge(self) -> None:
         """Forget flows that have been idle for as long as the limit says."""
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -19,6 +19,8 @@
 # A caller gives an opening up after 1.4 s, so one that waits longer than
 # this could be taken too late.
 MAX_AGE_S = 1.2
+# How long a caller has waited when it sends its first, second, third copy.
+COPY_AGE_S = (0.0, 0.2, 0.6)
 # After all agents declined, they are asked again at this interval: slots
 # become free and restarted endpoints register within a fraction of a second.
 # A request that has missed its latency objective is worth less and asks less
@@ -93,9 +95,18 @@
         self._peers.on(frames.Opened, self._on_opened)
 
     def begin(
-        self, packet: segment.Segment, route: view_module.Route
+        self,
+        packet: segment.Segment,
+        route: view_module.Route,
+        arrived_s: float,
     ) -> Opening:
-        """Offer an opening packet to the endpoint that is best for it."""
+        """Offer an opening packet to the endpoint that is best for it.
+
+        ``arrived_s`` is when the packet arrived. The time that the caller
+        has waited already counts, or slots would go to callers that are
+        about to give up.
+        """
+        copies = min(packet.acknowledged, len(COPY_AGE_S) - 1)
         flow = packet.flow_from_caller()
         opening = Opening(
             flow=flow,
@@ -103,7 +114,7 @@
             sequence=packet.acknowledged,
             service=route.service_for(flow),
             route=route,
-            started_s=anyio.current_time(),
+            started_s=arrived_s - COPY_AGE_S[copies],
         )
         self.opening_by_flow[flow] = opening
         self._offer(opening)
@@ -147,7 +158,8 @@
     def _hold(self, opening: Opening, now_s: float) -> None:
         """Ask again later, unless no endpoint may take the flow at all."""
         opening.tried_hosts.clear()
-        if not self._loads.eligible(opening.service):
+        none_left = not self._loads.eligible(opening.service)
+        if none_left and self._keeper.settled():
             self._refuse(opening, "no endpoint in service")
             return
         opening.host = ""
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -8,8 +8,8 @@
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
-from bramleypin.internal import registry
 from bramleypin.internal.observe import logs
+from bramleypin.internal import registry
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -180,6 +180,14 @@
         grace_s = self.kernel.settings.bounds.lapsed_entry_s
         self._trust_removals_s = anyio.current_time() + grace_s
 
+    def settled(self) -> bool:
+        """Tell whether missing endpoints are known to be gone.
+
+        Just after an outage of the store, living endpoints may be missing
+        from it.
+        """
+        return anyio.current_time() >= self._trust_removals_s
+
     def drop_lapsed(self) -> None:
         """Remove the endpoints that were not listed again in time."""
         now_s = anyio.current_time()
--- /dev/null
+++ b/src/bramleypin/standins/stream_codec.py
@@ -0,0 +1,67 @@
+"""A packet layout of the project's own, for tests of stream flows."""
+
+import struct
+
+from bramleypin.internal.stream import segment
+
+_HEADER = struct.Struct(">IHIHBIIH")
+_SYN, _ACK, _FIN, _RST, _BOUNCED = 1, 2, 4, 8, 16
+
+
+def encode(
+    source: tuple[int, int],
+    destination: tuple[int, int],
+    flags: int,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    data: bytes = b"",
+) -> bytes:
+    """Return a packet."""
+    head = _HEADER.pack(
+        *source, *destination, flags, sequence, acknowledged, len(data)
+    )
+    return head + data
+
+
+SYN, ACK, FIN, RST, BOUNCED = _SYN, _ACK, _FIN, _RST, _BOUNCED
+
+
+class TestCodec:
+    """Implements ``segment.SegmentCodec``."""
+
+    def decode(self, data: bytes) -> segment.Segment | None:
+        """Return the packet, or ``None`` if the bytes are not one."""
+        if len(data) < _HEADER.size:
+            return None
+        fields = _HEADER.unpack_from(data)
+        host, port, to, to_port, flags, sequence, acknowledged, size = fields
+        if len(data) != _HEADER.size + size:
+            return None
+        return segment.Segment(
+            source=(host, port),
+            destination=(to, to_port),
+            syn=bool(flags & _SYN),
+            ack=bool(flags & _ACK),
+            fin=bool(flags & _FIN),
+            rst=bool(flags & _RST),
+            bounced=bool(flags & _BOUNCED),
+            sequence=sequence,
+            acknowledged=acknowledged,
+            data_bytes=size,
+            raw=data,
+        )
+
+    def reset(self, flow: segment.Flow, sequence: int) -> bytes:
+        """Return a packet that resets a flow at its caller."""
+        return encode(
+            (flow.service_host, flow.service_port),
+            (flow.caller_host, flow.caller_port),
+            _RST,
+            sequence,
+        )
+
+    def restored(self, packet: segment.Segment) -> bytes:
+        """Return a bounced packet as its caller sent it."""
+        raw = bytearray(packet.raw)
+        raw[12] &= ~_BOUNCED & 0xFF
+        return bytes(raw)
--- /dev/null
+++ b/src/bramleypin/standins/stream_ends.py
@@ -0,0 +1,217 @@
+"""Callers and endpoints of stream flows on the virtual network."""
+
+import dataclasses
+
+import anyio
+
+from bramleypin.internal import address
+from bramleypin.internal.stream import segment
+from bramleypin.standins import stream_codec
+from bramleypin.standins import virtual_process
+
+# When a caller sends copies of its opening, and when it gives the opening up.
+COPIES_S = (0.0, 0.2, 0.6)
+OPENING_LIMIT_S = 1.4
+RESEND_S = 0.2
+MASK = 0xFFFFFFFF
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A request that an endpoint began to work on."""
+
+    flow: segment.Flow
+    at_s: float
+
+
+class StreamEndpoint:
+    """An endpoint that answers one request a flow and closes the flow.
+
+    ``silent`` drops everything that arrives, as a machine without power does.
+    """
+
+    def __init__(
+        self,
+        process: virtual_process.Process,
+        at: address.Address,
+        outbound: address.Address,
+        slots: int = 5,
+        work_s: float = 0.05,
+    ):
+        self.process = process
+        self.at = at
+        self.outbound = outbound
+        self.slots = slots
+        self.work_s = work_s
+        self.silent = False
+        self.runs: list[Run] = []
+        self.openings: list[Run] = []
+        self.bounced = 0
+        self._codec = stream_codec.TestCodec()
+        self._sequence_by_flow: dict[segment.Flow, int] = {}
+        self._open: set[segment.Flow] = set()
+        self._free = anyio.Semaphore(slots)
+
+    def crash(self) -> None:
+        """Discard all flows."""
+        self._sequence_by_flow.clear()
+        self._open.clear()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        self._port = await self.process.open_datagram_port(self.at)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                data, _ = await self._port.receive()
+                packet = self._codec.decode(data)
+                if packet is not None and not self.silent:
+                    self._take(tasks, packet)
+
+    def _take(self, tasks, packet: segment.Segment) -> None:
+        flow = packet.flow_from_caller()
+        if packet.opening:
+            known = self._sequence_by_flow.get(flow)
+            if known is None:
+                known = self.process.random.getrandbits(32)
+                self._sequence_by_flow[flow] = known
+                self.openings.append(Run(flow, anyio.current_time()))
+            flags = stream_codec.SYN | stream_codec.ACK
+            self._send(flow, flags, known, packet.sequence + 1)
+            return
+        sequence = self._sequence_by_flow.get(flow)
+        right = sequence is not None and (
+            packet.acknowledged == (sequence + 1) & MASK
+        )
+        if not right:
+            self.bounced += 1
+            raw = bytearray(packet.raw)
+            raw[12] |= stream_codec.BOUNCED
+            self._port.send(bytes(raw), self.outbound)
+        elif packet.data_bytes and flow not in self._open:
+            self._open.add(flow)
+            tasks.start_soon(self._work, flow, packet.sequence)
+
+    async def _work(self, flow: segment.Flow, sequence: int) -> None:
+        async with self._free:
+            self.runs.append(Run(flow, anyio.current_time()))
+            await anyio.sleep(self.work_s)
+        own = self._sequence_by_flow.get(flow)
+        if own is not None and not self.silent:
+            flags = stream_codec.ACK | stream_codec.FIN
+            self._send(flow, flags, own + 1, sequence, b"answer")
+
+    def _send(
+        self,
+        flow: segment.Flow,
+        flags: int,
+        sequence: int,
+        acknowledged: int,
+        data: bytes = b"",
+    ) -> None:
+        raw = stream_codec.encode(
+            (flow.service_host, flow.service_port),
+            (flow.caller_host, flow.caller_port),
+            flags,
+            sequence & MASK,
+            acknowledged & MASK,
+            data,
+        )
+        self._port.send(raw, self.outbound)
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """How a request ended: ``answered``, ``reset`` or ``silence``."""
+
+    kind: str
+    seconds: float
+
+
+class StreamCaller:
+    """Sends requests, a flow each, through balancers that a fabric picks.
+
+    ``balancers`` returns the ingress addresses in rotation.
+    """
+
+    def __init__(self, process: virtual_process.Process, port: int, balancers):
+        self.process = process
+        self._at = address.Address(process.host, port)
+        self._balancers = balancers
+        self._codec = stream_codec.TestCodec()
+        self._next_port = 1_024
+        self._inbox_by_port: dict[int, list[segment.Segment]] = {}
+        self._event_by_port: dict[int, anyio.Event] = {}
+
+    async def run(self) -> None:
+        """Receive until cancelled."""
+        self._port = await self.process.open_datagram_port(self._at)
+        while True:
+            data, _ = await self._port.receive()
+            packet = self._codec.decode(data)
+            if packet is None:
+                continue
+            port = packet.destination[1]
+            if port in self._inbox_by_port:
+                self._inbox_by_port[port].append(packet)
+                self._event_by_port[port].set()
+
+    async def request(
+        self, service: tuple[int, int], budget_s: float = 1.5
+    ) -> Outcome:
+        """Send one request and wait for its end."""
+        self._next_port += 1
+        port = self._next_port
+        self._inbox_by_port[port] = []
+        self._event_by_port[port] = anyio.Event()
+        started_s = anyio.current_time()
+        kind = "silence"
+        source = (segment.host_number(self.process.host), port)
+        with anyio.move_on_after(budget_s):
+            kind = await self._exchange(source, service)
+        del self._inbox_by_port[port]
+        return Outcome(kind, anyio.current_time() - started_s)
+
+    async def _exchange(self, source, service) -> str:
+        started_s = anyio.current_time()
+        for count, at_s in enumerate(COPIES_S):
+            self._send(source, service, stream_codec.SYN, 0, count)
+            following_s = (*COPIES_S[1:], OPENING_LIMIT_S)[count]
+            packet = await self._packet(source[1], started_s + following_s)
+            if packet is not None:
+                break
+        else:
+            return "silence"
+        if packet.rst:
+            return "reset"
+        acknowledged = packet.sequence + 1
+        while True:
+            flags = stream_codec.ACK
+            self._send(source, service, flags, 1, acknowledged, b"request")
+            until_s = anyio.current_time() + RESEND_S
+            packet = await self._packet(source[1], until_s, answers=True)
+            if packet is not None:
+                return "reset" if packet.rst else "answered"
+
+    async def _packet(
+        self, port: int, until_s: float, answers: bool = False
+    ) -> segment.Segment | None:
+        with anyio.move_on_after(until_s - anyio.current_time()):
+            while True:
+                for packet in self._inbox_by_port[port]:
+                    if packet.rst or packet.data_bytes or not answers:
+                        self._inbox_by_port[port].clear()
+                        return packet
+                self._event_by_port[port] = anyio.Event()
+                await self._event_by_port[port].wait()
+        return None
+
+    def _send(
+        self, source, service, flags, sequence, acknowledged, data=b""
+    ) -> None:
+        raw = stream_codec.encode(
+            source, service, flags, sequence, acknowledged & MASK, data
+        )
+        balancers = self._balancers()
+        if balancers:
+            to = balancers[hash((source, service)) % len(balancers)]
+            self._port.send(raw, to)
--- /dev/null
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -0,0 +1,333 @@
+"""A deployment for stream flows on the virtual network, with its store."""
+
+import dataclasses
+import typing
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal import services
+from bramleypin.internal.stream import program
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import settings as stream_settings
+from bramleypin.internal.stream import view
+from bramleypin.standins import stream_codec
+from bramleypin.standins import stream_ends
+from bramleypin.standins import virtual_network
+from bramleypin.standins import virtual_process
+
+PEER_PORT = 7000
+INGRESS_PORT = 7001
+READINESS_PORT = 7002
+ENDPOINT_PORT = 7003
+OUTBOUND_PORT = 7004
+STORE_ANSWER_S = 0.004
+SERVICE_HOST = segment.host_number("198.18.0.1")
+
+
+def route(
+    port: int = 443,
+    service: str = "desk",
+    priority: int = 1,
+    target_s: float = 0.25,
+    timeout_s: float = 1.5,
+) -> view.Route:
+    """Return a route for new flows to the test service's address."""
+    return view.Route(
+        name=f"{service}-{port}",
+        host=SERVICE_HOST,
+        port=port,
+        weight_by_service=((service, 1.0),),
+        idempotent=True,
+        timeout_s=timeout_s,
+        target_s=target_s,
+        priority=priority,
+    )
+
+
+def configuration(
+    version: int, *routes: view.Route, cold_per_s: float = 0.0
+) -> view.Configuration:
+    """Return a configuration with these routes and their services."""
+    names = {name for item in routes for name, _ in item.weight_by_service}
+    return view.Configuration(
+        version,
+        {(item.host, item.port): item for item in routes},
+        {name: view.Service(name, cold_per_s, 2.0, 2_000) for name in names},
+        15.0,
+    )
+
+
+class Store:
+    """The metadata store; ``refused_hosts`` are turned away."""
+
+    def __init__(self):
+        self.revision = 1
+        self.configuration = view.NO_CONFIGURATION
+        self.endpoint_by_id: dict[str, view.Endpoint] = {}
+        self.domains_out: set[str] = set()
+        self.down = False
+        self.refused_hosts: set[str] = set()
+        self._log: list[tuple[int, str, object]] = []
+        self._oldest = 0
+        self._changed = anyio.Event()
+
+    def _commit(self, kind: str, value: object) -> None:
+        self.revision += 1
+        self._log.append((self.revision, kind, value))
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    def configure(self, new: view.Configuration) -> None:
+        """Publish a configuration."""
+        self.configuration = new
+        self._commit("configuration", new)
+
+    def put(self, endpoint: view.Endpoint) -> None:
+        """Register an endpoint, or change its registration."""
+        endpoint = dataclasses.replace(endpoint, revision=self.revision + 1)
+        self.endpoint_by_id[endpoint.id] = endpoint
+        self._commit("endpoint", endpoint)
+
+    def remove(self, id_: str) -> None:
+        """End a registration."""
+        del self.endpoint_by_id[id_]
+        self._commit("removed", id_)
+
+    def take_out(self, domain: str) -> None:
+        """Take a failure domain out of service."""
+        self.domains_out.add(domain)
+        self._commit("out", domain)
+
+    def take_back(self, domain: str) -> None:
+        """Return a failure domain to service."""
+        self.domains_out.discard(domain)
+        self._commit("back", domain)
+
+    def forget_history(self) -> None:
+        """Discard the changes so far."""
+        self._oldest = self.revision
+
+    def _check(self, host: str) -> None:
+        if self.down or host in self.refused_hosts:
+            raise errors.PlatformUnavailable("the stand-in refuses")
+
+    def _seen(self, endpoint: view.Endpoint) -> view.Endpoint:
+        return dataclasses.replace(endpoint, seen_s=anyio.current_time())
+
+    async def read(self, host: str) -> view.Changes:
+        """Return everything."""
+        await anyio.sleep(STORE_ANSWER_S)
+        self._check(host)
+        known = self.configuration.version >= 0
+        return view.Changes(
+            self.revision,
+            self.configuration if known else None,
+            tuple(self._seen(item) for item in self.endpoint_by_id.values()),
+            (),
+            tuple(self.domains_out),
+            (),
+            complete=True,
+        )
+
+    async def watch(
+        self, host: str, after: int, wait_s: float
+    ) -> view.Changes:
+        """Return the changes after a revision, once there are some."""
+        await anyio.sleep(STORE_ANSWER_S)
+        self._check(host)
+        if after < self._oldest:
+            raise errors.PlatformHistoryLost("the stand-in has forgotten")
+        with anyio.move_on_after(wait_s):
+            while self.revision <= after:
+                await self._changed.wait()
+                self._check(host)
+        changes = [item for item in self._log if item[0] > after]
+        by_kind: dict[str, list] = {}
+        for _, kind, value in changes:
+            by_kind.setdefault(kind, []).append(value)
+        return view.Changes(
+            self.revision,
+            by_kind.get("configuration", [None])[-1],
+            tuple(self._seen(item) for item in by_kind.get("endpoint", ())),
+            tuple(by_kind.get("removed", ())),
+            tuple(by_kind.get("out", ())),
+            tuple(by_kind.get("back", ())),
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreOf:
+    """The store as one machine reaches it."""
+
+    store: Store
+    host: str
+
+    async def read(self) -> view.Changes:
+        """Return everything."""
+        return await self.store.read(self.host)
+
+    async def watch(self, after: int, wait_s: float) -> view.Changes:
+        """Return the changes after a revision, once there are some."""
+        return await self.store.watch(self.host, after, wait_s)
+
+
+class IdleListener:
+    """A listener at which nothing arrives."""
+
+    async def serve(self, handler: typing.Any) -> None:
+        """Wait until cancelled."""
+        await anyio.sleep_forever()
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
+async def _open_listener(at: address.Address) -> IdleListener:
+    return IdleListener()
+
+
+class Daemon:
+    """A daemon of the deployment and its kernel, once it runs."""
+
+    def __init__(self, fleet: "StreamFleet", settings):
+        self.fleet = fleet
+        self.settings = settings
+        self.kernel: kernel_module.Kernel | None = None
+        self.process: virtual_process.Process | None = None
+        self.leaving = False
+
+    def start(self) -> None:
+        """Start the daemon, or start it again."""
+        self.leaving = False
+        self.process = self.fleet.network.process(
+            self.settings.id, self.settings.host, self.settings.failure_domain
+        )
+        virtual_process.spawn(self.fleet.tasks, self.process, self._main)
+
+    async def _main(self) -> None:
+        services.load(self.settings.role)
+        process = self.process
+        self.kernel = kernel_module.Kernel(
+            self.settings,
+            program.StreamEnvironment(
+                open_datagram_port=process.open_datagram_port,
+                open_listener=_open_listener,
+                open_control=lambda: process.control,
+                platform=StoreOf(self.fleet.store, self.settings.host),
+                codec=stream_codec.TestCodec(),
+                random=process.random,
+            ),
+        )
+        await self.kernel.run()
+
+    def kill(self) -> None:
+        """End the daemon at once."""
+        self.process.kill()
+
+    def stop(self) -> None:
+        """Ask the daemon to leave, as SIGTERM does."""
+        self.leaving = True
+        self.kernel.shutdown()
+
+
+class StreamFleet:
+    """Balancers, endpoints with their agents, a store and callers."""
+
+    def __init__(self, tasks, seed: int = 1):
+        self.tasks = tasks
+        self.network = virtual_network.VirtualNetwork(seed)
+        self.store = Store()
+        self.balancer_by_name: dict[str, Daemon] = {}
+        self.agent_by_name: dict[str, Daemon] = {}
+        self.endpoint_by_name: dict[str, stream_ends.StreamEndpoint] = {}
+        tasks.start_soon(self.network.run)
+
+    def _settings(self, role: str, name: str, host: str, domain: str, **more):
+        return stream_settings.StreamSettings(
+            role=role,
+            id=name,
+            failure_domain=domain,
+            ingress=address.Address(host, INGRESS_PORT),
+            peers=address.Address(host, PEER_PORT),
+            readiness=address.Address(host, READINESS_PORT),
+            seeds=(address.Address("10.0.0.1", PEER_PORT),),
+            caller_port=INGRESS_PORT,
+            **more,
+        )
+
+    def add_balancer(self, name: str, host: str, domain: str) -> Daemon:
+        """Start a balancer."""
+        settings = self._settings("stream_balancer", name, host, domain)
+        made = self.balancer_by_name[name] = Daemon(self, settings)
+        made.start()
+        return made
+
+    def add_endpoint(
+        self,
+        name: str,
+        host: str,
+        domain: str,
+        service: str = "desk",
+        slots: int = 5,
+        work_s: float = 0.05,
+    ) -> stream_ends.StreamEndpoint:
+        """Start an endpoint and its agent, and register the endpoint."""
+        at = address.Address(host, ENDPOINT_PORT)
+        outbound = address.Address(host, OUTBOUND_PORT)
+        settings = self._settings(
+            "stream_agent",
+            f"agent-{name}",
+            host,
+            domain,
+            service=service,
+            endpoint=at,
+            outbound=outbound,
+        )
+        agent = self.agent_by_name[name] = Daemon(self, settings)
+        agent.start()
+        process = self.network.process(name, host, domain)
+        made = stream_ends.StreamEndpoint(process, at, outbound, slots, work_s)
+        self.endpoint_by_name[name] = made
+        virtual_process.spawn(self.tasks, process, made.run)
+        self.store.put(self.registration(name, service, slots))
+        return made
+
+    def registration(
+        self, name: str, service: str = "desk", slots: int = 5, **more
+    ) -> view.Endpoint:
+        """Return an endpoint's registration."""
+        settings = self.agent_by_name[name].settings
+        values = {
+            "id": name,
+            "service": service,
+            "host": settings.host,
+            "failure_domain": settings.failure_domain,
+            "slots": slots,
+            "draining": False,
+            "started_ms": 1,
+            "revision": 0,
+            "created": 1,
+            "cold_s": 0.0,
+            "seen_s": 0.0,
+        }
+        return view.Endpoint(**{**values, **more})
+
+    def add_caller(self, host: str) -> stream_ends.StreamCaller:
+        """Start a caller."""
+        process = self.network.process(f"caller-{host}", host)
+        made = stream_ends.StreamCaller(
+            process, INGRESS_PORT, self.in_rotation
+        )
+        virtual_process.spawn(self.tasks, process, made.run)
+        return made
+
+    def in_rotation(self) -> list[address.Address]:
+        """Return the ingress addresses of the balancers that are ready."""
+        return [
+            daemon.settings.ingress
+            for daemon in self.balancer_by_name.values()
+            if daemon.process.alive and not daemon.leaving
+        ]
