--- a/src/bramleypin/internal/observe/logs.py
+++ b/src/bramleypin/internal/observe/logs.py
@@ -74,7 +74,8 @@
         text = f"{self._prefix}{sentence}"
         if details:
             text = f"{text} [{details}]"
-        self._logger.bind(**fields).log(level, "{}", text)
+        bound = self._logger.bind(event=sentence, **fields)
+        bound.log(level, "{}", text)
 
 
 def get(part: str) -> PartLog:
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -52,6 +52,12 @@
 TO_CALLER = metrics.declare(
     "stream.packets_to_callers", "counter", "packets", "Packets to callers."
 )
+RESETS = metrics.declare(
+    "stream.flows_reset",
+    "counter",
+    "flows",
+    "Flows reset, as their endpoint has started anew.",
+)
 NOT_HELD = metrics.declare(
     "stream.packets_not_held",
     "counter",
@@ -169,7 +175,6 @@
             packet.destination
         )
         if route is not None:
-            entry.idempotent = route.idempotent
             entry.budget_s = route.timeout_s
         self.flows.begin_request(entry, self._slots())
         self.flows.half_open_by_key[flow] = entry
@@ -194,6 +199,15 @@
             self._answer(message, "refused", reason)
             return
         self._metrics.count(PASSED)
+        _log.info(
+            "opening passed on",
+            opening=message.opening,
+            origin=message.origin_host,
+            to=spares[0],
+            reason=reason,
+            running=self.flows.running,
+            revision=self._keeper.view.revision,
+        )
         self._answer(message, "passed", spares[0])
         self._peers.send(
             spares[0],
@@ -393,16 +407,21 @@
             return
         origin = entry.origin_host
         was_here = entry.endpoint_sequence >= 0
+        age_s = anyio.current_time() - entry.created_s
         self.flows.forget(entry)
-        _log.limited(
-            "bounced",
+        _log.info(
             "the endpoint does not hold a flow",
             flow=str(flow),
             opened_here=was_here,
+            age_s=round(age_s, 3),
         )
-        if was_here and entry.idempotent and packet.data_bytes == 0:
-            return
-        if not was_here and origin:
+        if was_here:
+            # The endpoint has started anew, so nobody holds the flow: its
+            # caller may try again at once.
+            self._metrics.count(RESETS)
+            reset = self._codec.reset(flow, packet.acknowledged)
+            self._peers.send_raw(reset, entry.caller_address)
+        elif origin:
             self._return(origin, self._codec.restored(packet))
 
     # Reports
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -49,7 +49,6 @@
     caller_done: bool = False
     endpoint_done: bool = False
     ended_s: float | None = None
-    idempotent: bool = False
 
 
 class EndpointFlows:
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -175,11 +175,15 @@
         if message.outcome == "taken":
             self._end(opening)
             self._metrics.count(OPENED)
-            _log.debug(
+            waited_s = anyio.current_time() - opening.started_s
+            _log.info(
                 "opening taken",
                 flow=str(flow),
                 host=host,
-                tried=len(opening.tried_hosts),
+                service=opening.service,
+                route=opening.route.name,
+                waited_ms=round(waited_s * 1000, 1),
+                offers=len(opening.numbers),
                 revision=self._keeper.view.revision,
             )
             self.on_taken(opening, host)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -141,7 +141,7 @@
             self._unknown_until_by_flow.clear()
         until_s = anyio.current_time() + UNKNOWN_S
         self._unknown_until_by_flow[search.flow] = until_s
-        _log.debug(
+        _log.info(
             "no agent holds the flow",
             flow=str(search.flow),
             asked=search.asked,
--- a/src/bramleypin/internal/stream/program.py
+++ b/src/bramleypin/internal/stream/program.py
@@ -13,6 +13,7 @@
 from bramleypin.internal.net import datagram
 from bramleypin.internal.net import environment
 from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import structured
 from bramleypin.internal import services
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import settings as stream_settings
@@ -59,6 +60,7 @@
 
     :raises errors.ServiceFailed: when one of its services fails.
     """
+    structured.configure(settings.log_level)
     services.load(settings.role)
     env = StreamEnvironment(
         open_datagram_port=datagram.open_port,
--- a/src/bramleypin/internal/stream/settings.py
+++ b/src/bramleypin/internal/stream/settings.py
@@ -52,6 +52,7 @@
     endpoint: address.Address | None = None
     outbound: address.Address | None = None
     bounds: Bounds = Bounds()
+    log_level: str = "INFO"
     metrics: settings_module.Metrics = settings_module.Metrics()
 
     @property
--- /dev/null
+++ b/tests/cover/test_stream_admission.py
@@ -0,0 +1,199 @@
+"""Admission at the endpoint of stream flows."""
+
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin.internal.stream import endpoint_flows
+from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import settings as stream_settings
+from bramleypin.internal.stream import stream_admission
+from bramleypin.internal.stream import view
+from bramleypin.standins import stream_fleet
+from bramleypin.standins import virtual_network
+
+HOST = "10.0.1.1"
+
+
+class _Keeper:
+    def __init__(self, known):
+        self.view = known
+
+
+class _Settings:
+    host = HOST
+    service = "desk"
+    failure_domain = "a"
+    bounds = stream_settings.Bounds()
+
+
+class _Kernel:
+    settings = _Settings
+
+    def __init__(self, known):
+        self._keeper = _Keeper(known)
+
+    def get(self, name):
+        return self._keeper
+
+
+def known_view(
+    out=(), registered=True, version=1, cold_per_s=0.0, **more
+) -> view.View:
+    """Return a view with one endpoint and routes of two priorities."""
+    values = {
+        "service": "desk",
+        "failure_domain": "a",
+        "slots": 5,
+        "draining": False,
+        "started_ms": 1,
+        "revision": 3,
+        "created": 1,
+        "cold_s": 0.0,
+        "seen_s": 0.0,
+    }
+    endpoint = view.Endpoint(id="e", host=HOST, **{**values, **more})
+    configuration = stream_fleet.configuration(
+        version,
+        stream_fleet.route(443, priority=1),
+        stream_fleet.route(8443, priority=2),
+        cold_per_s=cold_per_s,
+    )
+    if version < 0:
+        configuration = view.NO_CONFIGURATION
+    by_id = {"e": endpoint} if registered else {}
+    return view.View(9, configuration, by_id, frozenset(out))
+
+
+def request(
+    running=0, open_count=0, last=True, urgent=True, service="desk", revision=9
+) -> stream_admission.Request:
+    """Return an opening as the checks see it."""
+    offer = frames.Open(1, "10.0.0.1", service, 1, revision, [], [])
+    return stream_admission.Request(offer, running, open_count, last, urgent)
+
+
+def decide(known, asked, leaving=False, silent=False) -> str:
+    """Return the reason under the virtual clock, 10 s after the start."""
+
+    async def main():
+        admission = stream_admission.StreamAdmission(_Kernel(known))
+        admission.leaving = leaving
+        admission.silent = silent
+        await anyio.sleep(10.0)
+        return admission.decide(asked)
+
+    return virtual_network.run(main)
+
+
+class AdmissionTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("", known_view(), request()),
+            ("no view", known_view(version=-1), request()),
+            ("other service", known_view(), request(service="archive")),
+            ("draining", known_view(draining=True), request()),
+            ("failure domain out", known_view(out=("a",)), request()),
+            ("", known_view(out=("b",)), request()),
+            ("not registered", known_view(registered=False), request()),
+            ("", known_view(registered=False), request(revision=12)),
+            ("no slot free", known_view(), request(running=5, last=False)),
+            ("", known_view(), request(running=5)),
+            ("", known_view(), request(running=9)),
+            ("queue full", known_view(), request(running=10)),
+            ("", known_view(), request(running=7, urgent=False)),
+            ("queue full", known_view(), request(running=8, urgent=False)),
+            ("too many flows", known_view(), request(open_count=2_000)),
+        ]
+    )
+    def test_an_opening_is_declined_for(self, reason, known, asked):
+        """Guards against an endpoint that gets what it must not get."""
+        self.assertEqual(reason, decide(known, asked))
+
+    def test_a_leaving_agent_takes_nothing(self):
+        """Guards against new flows after SIGTERM."""
+        self.assertEqual(
+            "leaving", decide(known_view(), request(), leaving=True)
+        )
+
+    @parameterized.parameterized.expand([(True, ""), (False, "silent")])
+    def test_a_silent_endpoint_is_tried_only(self, last, reason):
+        """Guards against openings that a dead endpoint keeps."""
+        asked = request(last=last)
+        self.assertEqual(reason, decide(known_view(), asked, silent=True))
+
+    @parameterized.parameterized.expand(
+        [
+            ("announced rate", 8.0, 10),
+            ("no announced rate", 0.0, 100),
+        ]
+    )
+    def test_a_cold_endpoint_takes_in_a_second(self, _, rate, expected):
+        """Guards against a cold endpoint that is given its full load.
+
+        The rate and half of the tolerated burst of 5 are taken.
+        """
+        known = known_view(cold_s=60.0, cold_per_s=rate)
+
+        async def main():
+            admission = stream_admission.StreamAdmission(_Kernel(known))
+            await anyio.sleep(2.0)
+            return sum(admission.decide(request()) == "" for _ in range(100))
+
+        self.assertEqual(expected, virtual_network.run(main))
+
+    def test_a_new_process_assumes_a_full_window(self):
+        """Guards against a restart that doubles a cold endpoint's load."""
+        known = known_view(cold_s=60.0, cold_per_s=8.0)
+
+        async def main():
+            admission = stream_admission.StreamAdmission(_Kernel(known))
+            return admission.decide(request())
+
+        self.assertEqual("cold", virtual_network.run(main))
+
+    @parameterized.parameterized.expand([(443, True), (8443, False)])
+    def test_the_highest_priority_of_the_service_is_urgent(self, port, urgent):
+        """Guards against bookings that give way to lookups."""
+
+        async def main():
+            admission = stream_admission.StreamAdmission(_Kernel(known_view()))
+            return admission.is_urgent((stream_fleet.SERVICE_HOST, port))
+
+        self.assertIs(urgent, virtual_network.run(main))
+
+
+class EndpointFlowsTest(unittest.TestCase):
+    @parameterized.parameterized.expand([(1.0, 1), (1.6, 0)])
+    def test_a_request_counts_as_work_within_its_budget(self, wait_s, running):
+        """Guards against slots that callers who have left keep for good."""
+
+        async def main():
+            flows = endpoint_flows.EndpointFlows(7001)
+            entry = flows.add(segment.Flow(1, 2, 3, 4))
+            entry.established = True
+            entry.budget_s = 1.5
+            flows.begin_request(entry, 5)
+            await anyio.sleep(wait_s)
+            flows.purge(15.0)
+            return flows.running
+
+        self.assertEqual(running, virtual_network.run(main))
+
+    def test_a_flow_lingers_for_late_packets_and_is_then_forgotten(self):
+        """Guards against a last acknowledgement that is sent elsewhere."""
+
+        async def main():
+            flows = endpoint_flows.EndpointFlows(7001)
+            entry = flows.add(segment.Flow(1, 2, 3, 4))
+            flows.end(entry)
+            counts = []
+            for wait_s in (9.0, 2.0):
+                await anyio.sleep(wait_s)
+                flows.purge(15.0)
+                counts.append(len(flows.flow_by_key))
+            return counts, flows.open_count
+
+        self.assertEqual(([1, 0], 0), virtual_network.run(main))
