Keep reading the store past items that cannot be decoded

Cause: the log line for such an item passed a field named like a parameter of the rate-limited log call, so the reader ended with a TypeError. Found by test_a_foreign_entry_names_no_endpoint_and_harms_no_other, which failed for all six kinds of foreign entries and passes now.

--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -172,7 +172,7 @@
             _log.limited(
                 item.key,
                 "an item of the store cannot be used",
-                key=item.key,
+                item=item.key,
                 revision=item.revision,
                 error=str(error)[:200],
             )
--- /dev/null
+++ b/tests/cover/test_platform_adapter.py
@@ -0,0 +1,288 @@
+"""The adapter to the users' platform: settings, packets, store."""
+
+import base64
+import json
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin import errors
+from bramleypin.internal import address
+from bramleypin.internal.stream import segment
+from bramleypin.platform import boot
+from bramleypin.platform import decoding
+from bramleypin.platform import packet
+from bramleypin.platform import store
+
+FLOW = segment.Flow(
+    segment.host_number("100.64.0.9"),
+    40_002,
+    segment.host_number("198.18.0.3"),
+    8_443,
+)
+
+
+def boot_file(**changes) -> bytes:
+    """Return a settings file of an agent, with some keys changed."""
+    values = {
+        "node": "side-1",
+        "zone": "a",
+        "serves": ["side"],
+        "listen": {
+            "datagram_addr": "10.0.1.1:8172",
+            "outbound": "10.0.1.1:8162",
+            "ready_addr": "10.0.1.1:8167",
+        },
+        "internal_ports": [7720, 7735],
+        "seeds": ["10.0.0.1:8166", "10.0.1.1:8166"],
+        "service": "desk",
+        "app": "10.0.1.1:8165",
+        "bounds": {"grace_s": 4, "cold_over": 2},
+        "platform": {"address": "10.9.0.1:8169"},
+        "unknown_key": [1],
+    }
+    values.update(changes)
+    kept = {key: value for key, value in values.items() if value is not None}
+    return json.dumps(kept).encode()
+
+
+class BootTest(unittest.TestCase):
+    def test_the_file_becomes_the_projects_settings(self):
+        """Guards against fields that are read under another meaning."""
+        settings, store_address = boot.parse(boot_file(), "boot.json")
+        self.assertEqual("stream_agent", settings.role)
+        self.assertEqual(address.Address("10.0.1.1", 7720), settings.peers)
+        self.assertEqual(8172, settings.caller_port)
+        self.assertEqual((address.Address("10.0.0.1", 7720),), settings.seeds)
+        self.assertEqual(4.0, settings.bounds.shutdown_grace_s)
+        self.assertEqual(2.0, settings.bounds.cold_factor)
+        self.assertEqual(address.Address("10.9.0.1", 8169), store_address)
+
+    @parameterized.parameterized.expand(
+        [
+            ("no node", {"node": None}, "node"),
+            ("no role", {"serves": ["control"]}, "serves"),
+            ("two roles", {"serves": ["front", "side"]}, "serves"),
+            ("no port", {"internal_ports": []}, "internal_ports"),
+            ("wrong type", {"zone": 5}, "zone"),
+            ("no address", {"platform": {"address": "x"}}, "listen"),
+        ]
+    )
+    def test_a_wrong_file_is_refused_with_its_key(self, _, changes, key):
+        """Guards against a daemon that starts with half of its settings."""
+        with self.assertRaises(errors.InvalidSettings) as caught:
+            boot.parse(boot_file(**changes), "boot.json")
+        self.assertIn(key, str(caught.exception))
+
+
+class PacketTest(unittest.TestCase):
+    def test_a_reset_goes_from_the_service_to_the_caller(self):
+        """Guards against resets that a caller does not take for its own."""
+        codec = packet.PacketCodec()
+        found = codec.decode(codec.reset(FLOW, 77))
+        self.assertEqual(FLOW, found.flow_from_endpoint())
+        self.assertTrue(found.rst)
+        self.assertEqual((77, 0), (found.sequence, found.data_bytes))
+        self.assertEqual(b"\0\0\0\0", found.raw[:4])
+
+    def test_the_layout_is_little_endian_at_the_stated_offsets(self):
+        """Guards against fields that have moved."""
+        raw = bytearray(packet.HEADER_BYTES + 2)
+        raw[4:6] = (2).to_bytes(2, "little")
+        raw[6:10] = FLOW.service_host.to_bytes(4, "little")
+        raw[10:14] = FLOW.caller_host.to_bytes(4, "little")
+        raw[14:16] = FLOW.caller_port.to_bytes(2, "little")
+        raw[16:18] = FLOW.service_port.to_bytes(2, "little")
+        raw[18] = packet.SYN | packet.BOUNCED
+        raw[22:26] = (5).to_bytes(4, "little")
+        raw[26:30] = (2).to_bytes(4, "little")
+        found = packet.PacketCodec().decode(bytes(raw))
+        self.assertEqual(FLOW, found.flow_from_caller())
+        self.assertEqual((5, 2), (found.sequence, found.acknowledged))
+        self.assertTrue(found.opening and found.bounced)
+
+    def test_a_bounced_packet_is_restored_but_for_its_mark(self):
+        """Guards against a packet that another endpoint cannot use."""
+        codec = packet.PacketCodec()
+        raw = bytearray(codec.reset(FLOW, 9))
+        raw[packet.FLAGS_OFFSET] |= packet.BOUNCED
+        restored = codec.restored(codec.decode(bytes(raw)))
+        self.assertEqual(codec.reset(FLOW, 9), restored)
+
+    @parameterized.parameterized.expand(
+        [
+            ("short", b"\0" * 33),
+            ("longer than it says", b"\0" * 35),
+            ("oversized", b"\0" * 4 + b"\xff\xff" + b"\0" * 1_500),
+        ]
+    )
+    def test_bytes_that_are_no_packet_are_dropped(self, _, data):
+        """Guards against malformed datagrams that reach an endpoint."""
+        self.assertIsNone(packet.PacketCodec().decode(data))
+
+
+def item(key: str, body: object, **more) -> decoding.Item:
+    """Return an item of the store; bytes are taken as they are."""
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    value = base64.b64encode(data).decode()
+    return decoding.Item(key=key, revision=7, value=value, **more)
+
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.1.1:8165",
+    "zone": "a",
+    "state": "ready",
+    "slots": 3,
+    "cold_remaining_ms": 1500,
+    "born": 12,
+    "new_field": 1,
+}
+
+
+class DecodingTest(unittest.TestCase):
+    def test_an_entry_becomes_an_endpoint(self):
+        """Guards against fields that are read under another meaning."""
+        found = decoding.decode([item("servers/i-1", ENTRY)], 9, 4.0, True)
+        (endpoint,) = found.endpoints
+        self.assertEqual(("i-1", "10.0.1.1"), (endpoint.id, endpoint.host))
+        self.assertEqual((1.5, 4.0), (endpoint.cold_s, endpoint.seen_s))
+        self.assertEqual(12, endpoint.started_ms)
+
+    @parameterized.parameterized.expand(
+        [
+            ("state", {**ENTRY, "state": "resting"}),
+            ("missing", {"service": "desk"}),
+            ("type", {**ENTRY, "slots": "many"}),
+            ("address", {**ENTRY, "address": "host:1"}),
+            ("list", [1, 2]),
+            ("no json", b"\xff\xfe"),
+        ]
+    )
+    def test_a_foreign_entry_names_no_endpoint_and_harms_no_other(
+        self, _, body
+    ):
+        """Guards against an entry that stops the reader."""
+        items = [item("servers/bad", body), item("servers/good", ENTRY)]
+        found = decoding.decode(items, 9, 0.0, False)
+        self.assertEqual(["good"], [e.id for e in found.endpoints])
+        self.assertEqual(("bad",), found.removed_ids)
+
+    def test_later_changes_of_a_key_win(self):
+        """Guards against a removal that an earlier event undoes."""
+        items = [
+            item("servers/e", ENTRY),
+            decoding.Item(key="servers/e", revision=8, tombstone=True),
+            item("op/evacuate/a", {}),
+            decoding.Item(key="op/evacuate/b", revision=9, tombstone=1),
+        ]
+        found = decoding.decode(items, 9, 0.0, False)
+        self.assertEqual(((), ("e",)), (found.endpoints, found.removed_ids))
+        self.assertEqual(("a",), found.domains_out)
+        self.assertEqual(("b",), found.domains_returned)
+
+    def test_a_configuration_is_decoded_with_its_splits(self):
+        """Guards against new flows that go to the wrong service."""
+        body = {
+            "version": 4,
+            "routes": [
+                {
+                    "name": "r",
+                    "hostname": "198.18.0.3",
+                    "prefix": "/8443/",
+                    "type": "unsafe",
+                    "timeout_ms": 2000,
+                    "target_latency_ms": 300,
+                    "priority": 1,
+                    "backends": [
+                        {"service": "desk", "weight": 90},
+                        {"service": "archive", "weight": 10},
+                    ],
+                }
+            ],
+            "services": [{"name": "desk", "cold_per_s": 8}],
+            "limits": {"idle_timeout_ms": 9000},
+        }
+        found = decoding.decode([item("op/config", body)], 9, 0.0, False)
+        configuration = found.configuration
+        route = configuration.route_by_address[
+            (FLOW.service_host, FLOW.service_port)
+        ]
+        self.assertEqual(
+            (4, 9.0), (configuration.version, configuration.idle_s)
+        )
+        self.assertFalse(route.idempotent)
+        chosen = [
+            route.service_for(FLOW._replace(caller_port=port))
+            for port in range(2_000)
+        ]
+        self.assertTrue(150 < chosen.count("archive") < 250)
+
+
+class StoreClientTest(unittest.TestCase):
+    def play(self, answers):
+        """Read and watch a stand-in that gives these raw answers."""
+
+        async def main():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.listeners[0].extra(
+                anyio.abc.SocketAttribute.local_port
+            )
+            rest = list(answers)
+
+            async def serve(stream):
+                async with stream:
+                    while rest:
+                        try:
+                            await stream.receive(65_536)
+                        except anyio.EndOfStream:
+                            return
+                        body = rest.pop(0)
+                        if body is None:
+                            return
+                        await stream.send(body)
+
+            results = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                client = store.StoreClient(address.Address("127.0.0.1", port))
+                for _ in answers:
+                    try:
+                        results.append(await client.watch(1, 0.01))
+                    except errors.BramleypinError as error:
+                        results.append(error)
+                await client.aclose()
+                tasks.cancel_scope.cancel()
+            return results
+
+        return anyio.run(main)
+
+    @staticmethod
+    def response(status: int, body: object) -> bytes:
+        """Return a raw HTTP response."""
+        data = json.dumps(body).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+        return head.encode() + data
+
+    def test_answers_become_changes_or_typed_errors(self):
+        """Guards against a reader that ends, or goes on after lost history."""
+        good = {"as_of": 5, "events": [{"key": "servers/e", "tombstone": 1}]}
+        results = self.play(
+            [
+                self.response(200, good),
+                self.response(410, {}),
+                self.response(503, {}),
+                self.response(200, {"no": "revision"}),
+                b"garbage\r\n\r\n",
+                None,
+                self.response(200, {"as_of": 6}),
+            ]
+        )
+        self.assertEqual(
+            (5, ("e",)), (results[0].revision, results[0].removed_ids)
+        )
+        self.assertIsInstance(results[1], errors.PlatformHistoryLost)
+        for result in results[2:6]:
+            self.assertIsInstance(result, errors.PlatformUnavailable)
+        self.assertEqual(6, results[6].revision)
