--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -54,6 +54,7 @@
     "stream_agent": (
         *_STREAM,
         "bramleypin.internal.stream.stream_admission",
+        "bramleypin.internal.stream.reports",
         "bramleypin.internal.stream.agent",
     ),
 }
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -22,13 +22,6 @@
 CALLER_TIMEOUT_S = 0.3
 # Openings in a row without an answer, until the endpoint counts as silent.
 SILENT_AFTER = 3
-REPORT_INTERVAL_S = 0.1
-# Balancers wait for the report that a busy endpoint has a free slot.
-BUSY_REPORT_INTERVAL_S = 0.02
-# Balancers that have sent nothing for this long get no more reports.
-AUDIENCE_S = 3.0
-# A target-size fleet has hundreds of balancers; an agent reports to some.
-MAX_AUDIENCE = 32
 MASK = 0xFFFFFFFF
 
 TAKEN = metrics.declare(
@@ -71,7 +64,7 @@
 @kernel_module.service(
     "agent",
     roles=("stream_agent",),
-    needs=("view", "peer_port", "stream_admission", "metrics"),
+    needs=("view", "peer_port", "stream_admission", "reports", "metrics"),
 )
 class Agent(kernel_module.Service):
     """Owns the flows of the endpoint on its machine."""
@@ -80,16 +73,15 @@
         super().__init__(kernel)
         settings = kernel.settings
         self.settings = settings
-        self.flows = endpoint_flows.EndpointFlows(settings.caller_port)
         self._codec = kernel.environment.codec
         self._keeper = kernel.get("view")
         self._peers = kernel.get("peer_port")
         self._admission = kernel.get("stream_admission")
+        self._reports = kernel.get("reports")
+        self.flows: endpoint_flows.EndpointFlows = self._admission.flows
         self._metrics = kernel.get("metrics")
         self._started_s = anyio.current_time()
-        self._heard_s_by_host: dict[str, float] = {}
         self._unanswered_in_row = 0
-        self._reported: frames.Report | None = None
         self._wake = anyio.Event()
         self._peers.on(frames.Open, self._on_open)
         self._peers.on(frames.Data, self._on_data)
@@ -109,7 +101,6 @@
         """Read the endpoint's packets until the port is closed."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_openings)
-            tasks.start_soon(self._report_regularly)
             tasks.start_soon(self._purge)
             burst: list[tuple[bytes, tuple[str, int]]] = []
             while True:
@@ -119,27 +110,11 @@
                     self.handle_outbound(data)
                 burst.clear()
 
-    def report(self) -> frames.Report:
-        """Return what balancers need to know of the endpoint."""
-        return frames.Report(
-            self.settings.host,
-            self.settings.service,
-            self.flows.running,
-            self._slots(),
-            round(self.flows.service_time_s, 4),
-            self.flows.running >= stream_admission.queue_limit(self._slots()),
-            self._admission.room(),
-            self._admission.state(),
-            self._keeper.view.revision,
-        )
-
-    # Openings
-
     def _on_open(self, message: frames.Open, data: bytes, host: str) -> None:
         packet = self._codec.decode(data)
         if packet is None or not packet.opening:
             return
-        self._heard_s_by_host[message.origin_host] = anyio.current_time()
+        self._reports.heard(message.origin_host)
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
         if entry is not None and entry.ended_s is None:
@@ -176,15 +151,11 @@
         )
         if route is not None:
             entry.budget_s = route.timeout_s
-        self.flows.begin_request(entry, self._slots())
+        self.flows.begin_request(entry, self._admission.slots())
         self.flows.half_open_by_key[flow] = entry
         self._send_to_endpoint(packet.raw)
         self._wake.set()
 
-    def _slots(self) -> int:
-        known = self._admission.endpoint()
-        return known.slots if known is not None else 1
-
     def _pass_on(
         self, message: frames.Open, packet: bytes, reason: str
     ) -> None:
@@ -226,7 +197,9 @@
     def _answer(self, message: frames.Open, outcome: str, reason: str) -> None:
         self._peers.send(
             message.origin_host,
-            frames.Opened(message.opening, outcome, reason, self.report()),
+            frames.Opened(
+                message.opening, outcome, reason, self._reports.report()
+            ),
         )
 
     async def _watch_openings(self) -> None:
@@ -263,14 +236,11 @@
         if entry.offer is not None:
             self._pass_on(entry.offer, entry.opening, "endpoint is silent")
 
-    # Packets of callers
-
     def _on_data(self, message: frames.Data, data: bytes, host: str) -> None:
         packet = self._codec.decode(data)
         if packet is None:
             return
-        now_s = anyio.current_time()
-        self._heard_s_by_host[host] = now_s
+        self._reports.heard(host)
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
         if entry is None:
@@ -323,7 +293,7 @@
             entry.established = True
             self.flows.half_open_by_key.pop(entry.flow, None)
         if packet.data_bytes:
-            self.flows.begin_request(entry, self._slots())
+            self.flows.begin_request(entry, self._admission.slots())
         if packet.rst:
             self.flows.end(entry)
         elif packet.fin:
@@ -354,8 +324,6 @@
             host, frames.Holder(message.lookup, self.settings.host, answer)
         )
 
-    # Packets of the endpoint
-
     def handle_outbound(self, data: bytes) -> None:
         """Send on one packet of the endpoint."""
         packet = self._codec.decode(data)
@@ -424,35 +392,6 @@
         elif origin:
             self._return(origin, self._codec.restored(packet))
 
-    # Reports
-
-    async def _report_regularly(self) -> None:
-        while True:
-            busy = self.flows.running >= self._slots()
-            await anyio.sleep(
-                BUSY_REPORT_INTERVAL_S if busy else REPORT_INTERVAL_S
-            )
-            report = self.report()
-            if report == self._reported and not report.full:
-                continue
-            self._reported = report
-            self.send_report(report)
-
-    def send_report(self, report: frames.Report) -> None:
-        """Send a report to the balancers that are in contact."""
-        oldest_s = anyio.current_time() - AUDIENCE_S
-        for host, heard_s in list(self._heard_s_by_host.items()):
-            if heard_s < oldest_s:
-                del self._heard_s_by_host[host]
-        hosts = sorted(
-            self._heard_s_by_host,
-            key=self._heard_s_by_host.__getitem__,
-            reverse=True,
-        )
-        message = frames.Load(report)
-        for host in hosts[:MAX_AUDIENCE]:
-            self._peers.send(host, message)
-
     async def _purge(self) -> None:
         while True:
             await anyio.sleep(PURGE_INTERVAL_S)
--- a/src/bramleypin/internal/stream/leaving.py
+++ b/src/bramleypin/internal/stream/leaving.py
@@ -53,7 +53,8 @@
         self.kernel.get("stream_admission").leaving = True
         grace_s = self.kernel.settings.bounds.shutdown_grace_s - RESERVE_S
         started_s = anyio.current_time()
-        agent.send_report(agent.report())
+        reports = self.kernel.get("reports")
+        reports.send(reports.report())
         open_flows = 0
         with anyio.move_on_after(grace_s):
             while True:
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -10,6 +10,7 @@
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
 from bramleypin.internal import registry
+from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
@@ -47,7 +48,7 @@
     "stream_admission", roles=("stream_agent",), needs=("view",)
 )
 class StreamAdmission(kernel_module.Service):
-    """Holds what the endpoint may take now.
+    """Holds the endpoint's flows and decides what it may take now.
 
     All balancers' openings pass here, so the limit of a cold endpoint is a
     sum over all of them.
@@ -57,6 +58,7 @@
         super().__init__(kernel)
         self._keeper = kernel.get("view")
         self.settings = kernel.settings
+        self.flows = endpoint_flows.EndpointFlows(kernel.settings.caller_port)
         self.leaving = False
         self.silent = False
         # A process that has just started does not know what the endpoint got
@@ -71,6 +73,11 @@
         known = view.endpoint_by_host(settings.service)
         return known.get(settings.host)
 
+    def slots(self) -> int:
+        """Return how many requests the endpoint works on at once."""
+        known = self.endpoint()
+        return known.slots if known is not None else 1
+
     def cold_limit(self, endpoint: view_module.Endpoint) -> float:
         """Return how many requests a second a cold endpoint bears.
 
--- a/tests/cover/test_stream_admission.py
+++ b/tests/cover/test_stream_admission.py
@@ -26,6 +26,7 @@
     host = HOST
     service = "desk"
     failure_domain = "a"
+    caller_port = 7001
     bounds = stream_settings.Bounds()
 
 
