--- a/src/bramleypin/internal/tool/fleet_commands.py
+++ b/src/bramleypin/internal/tool/fleet_commands.py
@@ -144,7 +144,7 @@
     if behind:
         result.append(
             f"behind revision {newest}: {', '.join(behind)}; look again in "
-            "5 s, then see docs/operations.md, 'a daemon stays behind'"
+            "5 s, then see docs/OPERATIONS.md, 'a daemon stays behind'"
         )
     unconfirmed = [
         item["id"]
--- a/tests/cover/test_tool_pages.py
+++ b/tests/cover/test_tool_pages.py
@@ -16,7 +16,7 @@
 from bramleypin.internal.tool import output
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PAGE = (ROOT / "docs/operations.md").read_text(encoding="utf-8")
+PAGE = (ROOT / "docs/OPERATIONS.md").read_text(encoding="utf-8")
 APPLICATION_BY_PROGRAM = {
     "bramleypin": cli.application,
     "bramleypind": daemon.application,
