Share the tick loop, the list of recent hosts and the queue bound

Cause: a second reading of the stream code found logic that stood twice or thrice and state that nobody read. Openings, searches and half-open flows each had their own loop that sleeps while a table is empty; agents' audience and the peers' port each pruned hosts by age; the queue bound stood in the check and in the report; the comparison of a position with the endpoint's SYN+ACK stood in the lookup and in the data path.

Change: Ticker, RecentHosts, queue_limit(slots, urgent) and EndpointFlow.is_confirmed_by serve all of them. Removed: Opening.sequence, EndpointFlow.acknowledged, the owners' unused dependency on loads, a reset position that was always 0, and ViewKeeper.contact, whose line "the store answers again" repeated the reader's "the store answers" (it also appeared alone after a watch that took over 5 s without failing). An opening's age is checked before endpoints are ranked for it.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -10,6 +10,7 @@
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import stream_admission
+from bramleypin.internal.stream import ticker
 
 BURST = 64
 PURGE_INTERVAL_S = 1.0
@@ -22,7 +23,9 @@
 CALLER_TIMEOUT_S = 0.3
 # Openings in a row without an answer, until the endpoint counts as silent.
 SILENT_AFTER = 3
-MASK = 0xFFFFFFFF
+# A copy of an opening counts the copies before it, where other packets
+# acknowledge a position; a caller sends far fewer copies than this.
+MAX_COPIES = 8
 
 TAKEN = metrics.declare(
     "stream.flows_taken", "counter", "flows", "Openings given to the endpoint."
@@ -82,7 +85,7 @@
         self._metrics = kernel.get("metrics")
         self._started_s = anyio.current_time()
         self._unanswered_in_row = 0
-        self._wake = anyio.Event()
+        self._ticker = ticker.Ticker(TICK_S)
         self._peers.on(frames.Open, self._on_open)
         self._peers.on(frames.Data, self._on_data)
         self._peers.on(frames.Lookup, self._on_lookup)
@@ -154,7 +157,7 @@
         self.flows.begin_request(entry, self._admission.slots())
         self.flows.half_open_by_key[flow] = entry
         self._send_to_endpoint(packet.raw)
-        self._wake.set()
+        self._ticker.wake()
 
     def _pass_on(
         self, message: frames.Open, packet: bytes, reason: str
@@ -205,15 +208,11 @@
     async def _watch_openings(self) -> None:
         """Pass on openings that the endpoint does not answer."""
         while True:
-            if not self.flows.half_open_by_key:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-            before_s = anyio.current_time()
-            await anyio.sleep(TICK_S)
-            now_s = anyio.current_time()
-            if now_s - before_s > ENDPOINT_TIMEOUT_S:
+            interval_s = await self._ticker.wait(self.flows.half_open_by_key)
+            if interval_s > ENDPOINT_TIMEOUT_S:
                 # The process stood still; answers may wait in the socket.
                 continue
+            now_s = anyio.current_time()
             for entry in list(self.flows.half_open_by_key.values()):
                 age_s = now_s - entry.offered_s
                 if entry.offer is not None and age_s > ENDPOINT_TIMEOUT_S:
@@ -274,10 +273,7 @@
         """Tell whether a caller opened the flow at another endpoint."""
         if entry.established or packet.opening or not packet.ack:
             return False
-        if entry.endpoint_sequence < 0:
-            return True
-        ahead = (packet.acknowledged - entry.endpoint_sequence) & MASK
-        return ahead > 1
+        return not entry.is_confirmed_by(packet.acknowledged)
 
     def _return(self, host: str, data: bytes) -> None:
         self._metrics.count(NOT_HELD)
@@ -287,8 +283,6 @@
         self, entry: endpoint_flows.EndpointFlow, packet: segment.Segment
     ) -> None:
         entry.seen_s = anyio.current_time()
-        if packet.ack:
-            entry.acknowledged = packet.acknowledged
         if not packet.opening and not entry.established:
             entry.established = True
             self.flows.half_open_by_key.pop(entry.flow, None)
@@ -310,16 +304,14 @@
         entry = self.flows.flow_by_key.get(flow)
         if entry is None:
             answer = "maybe" if self._is_young() else "no"
-        elif entry.established or message.acknowledged == 0:
+        elif (
+            entry.established
+            or message.acknowledged < MAX_COPIES
+            or entry.is_confirmed_by(message.acknowledged)
+        ):
             answer = "holds"
-        elif entry.endpoint_sequence < 0:
-            # Only a copy of the opening belongs here: it counts copies where
-            # other packets acknowledge a position.
-            answer = "holds" if message.acknowledged < 8 else "no"
         else:
-            ahead = (message.acknowledged - entry.endpoint_sequence) & MASK
-            small = message.acknowledged < 8
-            answer = "holds" if ahead <= 1 or small else "no"
+            answer = "no"
         self._peers.send(
             host, frames.Holder(message.lookup, self.settings.host, answer)
         )
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -162,7 +162,7 @@
             return
         self.owned_by_flow.pop(flow, None)
         if packet.opening:
-            self._reset(flow, 0, "no route")
+            self._reset(flow, "no route")
 
     def _forward(self, owned: OwnedFlow, packet: segment.Segment) -> None:
         self._peers.send(owned.host, frames.Data(owned.confirmed), packet.raw)
@@ -174,7 +174,7 @@
             self._forward(owned, packet)
 
     def _on_refused(self, opening: openings_module.Opening) -> None:
-        self._reset(opening.flow, 0, "no endpoint")
+        self._reset(opening.flow, "no endpoint")
 
     def _on_found(
         self, search: owners_module.Search, host: str, others: list[str]
@@ -228,7 +228,8 @@
         if len(self.owned_by_flow) > MAX_FLOWS:
             self.owned_by_flow.popitem(last=False)
 
-    def _reset(self, flow: segment.Flow, sequence: int, reason: str) -> None:
+    def _reset(self, flow: segment.Flow, reason: str) -> None:
+        """Reset a flow that is not open, where any position will do."""
         self._metrics.count(RESETS)
         _log.limited(
             f"reset {reason}",
@@ -241,7 +242,7 @@
             segment.host_text(flow.caller_host),
             self.kernel.settings.caller_port,
         )
-        self._peers.send_raw(self._codec.reset(flow, sequence), to)
+        self._peers.send_raw(self._codec.reset(flow, 0), to)
 
     async def _route_early(self) -> None:
         """Open the flows that were asked for before there was a view."""
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -17,6 +17,8 @@
 SAMPLE_WEIGHT = 0.1
 # Without a route that says how long a caller waits.
 DEFAULT_BUDGET_S = 10.0
+# Positions in a flow wrap around at 32 bits.
+MASK = 0xFFFFFFFF
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,11 +47,16 @@
     established: bool = False
     busy_since_s: float | None = None
     sampled: bool = False
-    acknowledged: int = 0
     caller_done: bool = False
     endpoint_done: bool = False
     ended_s: float | None = None
 
+    def is_confirmed_by(self, acknowledged: int) -> bool:
+        """Tell whether a position acknowledges this endpoint's SYN+ACK."""
+        if self.endpoint_sequence < 0:
+            return False
+        return (acknowledged - self.endpoint_sequence) & MASK <= 1
+
 
 class EndpointFlows:
     """The table of flows, with the load that follows from it.
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -9,6 +9,7 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import ticker
 from bramleypin.internal.stream import view as view_module
 
 # An agent answers when its endpoint has accepted the flow, and passes it on
@@ -59,7 +60,6 @@
 
     flow: segment.Flow
     packet: bytes
-    sequence: int
     service: str
     route: view_module.Route
     started_s: float
@@ -91,7 +91,7 @@
         self._peers = kernel.get("peer_port")
         self._loads = kernel.get("loads")
         self._metrics = kernel.get("metrics")
-        self._wake = anyio.Event()
+        self._ticker = ticker.Ticker(TICK_S)
         self._peers.on(frames.Opened, self._on_opened)
 
     def begin(
@@ -99,7 +99,7 @@
         packet: segment.Segment,
         route: view_module.Route,
         arrived_s: float,
-    ) -> Opening:
+    ) -> None:
         """Offer an opening packet to the endpoint that is best for it.
 
         ``arrived_s`` is when the packet arrived. The time that the caller
@@ -111,25 +111,22 @@
         opening = Opening(
             flow=flow,
             packet=packet.raw,
-            sequence=packet.acknowledged,
             service=route.service_for(flow),
             route=route,
             started_s=arrived_s - COPY_AGE_S[copies],
         )
         self.opening_by_flow[flow] = opening
         self._offer(opening)
-        if not self._wake.is_set():
-            self._wake.set()
-        return opening
+        self._ticker.wake()
 
     def _offer(self, opening: Opening) -> None:
-        hosts = self._loads.rank(
-            opening.service, opening.route, opening.tried_hosts
-        )
         now_s = anyio.current_time()
         if now_s - opening.started_s > MAX_AGE_S:
             self._refuse(opening, "no endpoint in time")
             return
+        hosts = self._loads.rank(
+            opening.service, opening.route, opening.tried_hosts
+        )
         if not hosts or self._loads.is_full(hosts[0]):
             self._hold(opening, now_s)
             return
@@ -224,10 +221,7 @@
     async def run(self) -> None:
         """Offer openings that were not answered to the next agent."""
         while True:
-            if not self.opening_by_flow:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-            await anyio.sleep(TICK_S)
+            await self._ticker.wait(self.opening_by_flow)
             now_s = anyio.current_time()
             late = [
                 opening
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -10,6 +10,7 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import ticker
 
 # Two network delays between failure domains, and the time of a busy agent.
 ANSWER_TIMEOUT_S = 0.04
@@ -51,7 +52,7 @@
 @kernel_module.service(
     "owners",
     roles=("stream_balancer",),
-    needs=("view", "peer_port", "loads", "metrics"),
+    needs=("view", "peer_port", "metrics"),
 )
 class Owners(kernel_module.Service):
     """Searches the owners of flows that this balancer does not know.
@@ -66,14 +67,13 @@
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self.search_by_flow: dict[segment.Flow, Search] = {}
-        self._flow_by_number: dict[int, segment.Flow] = {}
+        self._search_by_number: dict[int, Search] = {}
         self._unknown_until_by_flow: dict[segment.Flow, float] = {}
         self._number = kernel.environment.random.getrandbits(31)
         self._keeper = kernel.get("view")
         self._peers = kernel.get("peer_port")
-        self._loads = kernel.get("loads")
         self._metrics = kernel.get("metrics")
-        self._wake = anyio.Event()
+        self._ticker = ticker.Ticker(TICK_S)
         self._peers.on(frames.Holder, self._on_holder)
 
     def search(self, packet: segment.Segment) -> None:
@@ -100,11 +100,11 @@
             waiting=[] if packet.opening else [packet],
         )
         self.search_by_flow[flow] = search
-        self._flow_by_number[search.number] = flow
+        self._search_by_number[search.number] = search
         message = frames.Lookup(search.number, flow, packet.acknowledged)
         for host in hosts:
             self._peers.send(host, message)
-        self._wake.set()
+        self._ticker.wake()
 
     def _hosts(self, destination: tuple[int, int]) -> list[str]:
         services = self._keeper.services_of(destination)
@@ -115,8 +115,7 @@
         return list(hosts)
 
     def _on_holder(self, message: frames.Holder, _: bytes, host: str) -> None:
-        flow = self._flow_by_number.get(message.lookup)
-        search = self.search_by_flow.get(flow) if flow else None
+        search = self._search_by_number.get(message.lookup)
         if search is None:
             return
         search.answered += 1
@@ -152,15 +151,12 @@
 
     def _end(self, search: Search) -> None:
         self.search_by_flow.pop(search.flow, None)
-        self._flow_by_number.pop(search.number, None)
+        self._search_by_number.pop(search.number, None)
 
     async def run(self) -> None:
         """Conclude searches that some agents did not answer."""
         while True:
-            if not self.search_by_flow:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-            await anyio.sleep(TICK_S)
+            await self._ticker.wait(self.search_by_flow)
             now_s = anyio.current_time()
             for search in list(self.search_by_flow.values()):
                 if search.due_s <= now_s:
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -2,13 +2,12 @@
 
 import typing
 
-import anyio
-
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.net import datagram
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import recent_hosts
 
 RECEIVED = metrics.declare(
     "stream.frames_received", "counter", "frames", "Frames of other daemons."
@@ -41,7 +40,7 @@
         self._port_number = kernel.settings.peers.port
         self.newest_revision = -1
         self.newest_host = ""
-        self._heard_s_by_host: dict[str, float] = {}
+        self._recent = recent_hosts.RecentHosts(HEARD_S)
 
     async def start(self) -> None:
         """Open the port."""
@@ -83,7 +82,7 @@
         self._metrics.count(RECEIVED)
         revision = message.view_revision()
         if revision >= 0:
-            self._heard_s_by_host[sender_host] = anyio.current_time()
+            self._recent.heard(sender_host)
             if revision > self.newest_revision:
                 self.newest_revision = revision
                 self.newest_host = sender_host
@@ -93,19 +92,11 @@
 
     def heard_hosts(self) -> list[str]:
         """Return the daemons that sent something within the last seconds."""
-        oldest_s = anyio.current_time() - HEARD_S
-        stale = [
-            host
-            for host, heard_s in self._heard_s_by_host.items()
-            if heard_s < oldest_s
-        ]
-        for host in stale:
-            del self._heard_s_by_host[host]
-        return list(self._heard_s_by_host)
+        return self._recent.newest_first()
 
     def forget(self, host: str) -> None:
         """Note that a daemon cannot be reached."""
-        self._heard_s_by_host.pop(host, None)
+        self._recent.forget(host)
         if host == self.newest_host:
             self.newest_revision, self.newest_host = -1, ""
 
--- a/src/bramleypin/internal/stream/reports.py
+++ b/src/bramleypin/internal/stream/reports.py
@@ -4,6 +4,7 @@
 
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import recent_hosts
 from bramleypin.internal.stream import stream_admission
 
 REPORT_INTERVAL_S = 0.1
@@ -28,12 +29,12 @@
         self._keeper = kernel.get("view")
         self._peers = kernel.get("peer_port")
         self._admission = kernel.get("stream_admission")
-        self._heard_s_by_host: dict[str, float] = {}
+        self._audience = recent_hosts.RecentHosts(AUDIENCE_S)
         self._reported: frames.Report | None = None
 
     def heard(self, host: str) -> None:
         """Note that a balancer has sent something."""
-        self._heard_s_by_host[host] = anyio.current_time()
+        self._audience.heard(host)
 
     def report(self) -> frames.Report:
         """Return what balancers need to know of the endpoint."""
@@ -66,15 +67,6 @@
     def send(self, report: frames.Report) -> None:
         """Send a report to the balancers that are in contact."""
         self._reported = report
-        oldest_s = anyio.current_time() - AUDIENCE_S
-        for host, heard_s in list(self._heard_s_by_host.items()):
-            if heard_s < oldest_s:
-                del self._heard_s_by_host[host]
-        hosts = sorted(
-            self._heard_s_by_host,
-            key=self._heard_s_by_host.__getitem__,
-            reverse=True,
-        )
         message = frames.Load(report)
-        for host in hosts[:MAX_AUDIENCE]:
+        for host in self._audience.newest_first()[:MAX_AUDIENCE]:
             self._peers.send(host, message)
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -8,7 +8,6 @@
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
-from bramleypin.internal.observe import logs
 from bramleypin.internal import registry
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
@@ -21,8 +20,6 @@
 RESERVED = 0.4
 COLD_WINDOW_S = 1.0
 
-_log = logs.get("admission")
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
@@ -40,6 +37,17 @@
     urgent: bool
 
 
+def queue_limit(slots: int, urgent: bool = True) -> float:
+    """Return how many requests an endpoint with these slots may hold.
+
+    Requests that are not urgent leave a part of the queue to those that are.
+    """
+    queue = slots * QUEUE_PER_SLOT
+    if not urgent:
+        queue *= 1 - RESERVED
+    return slots + max(1.0, queue)
+
+
 Check = typing.Callable[["StreamAdmission", Request], bool]
 CHECKS: registry.Registry[Check] = registry.Registry("admission check")
 
@@ -198,15 +206,7 @@
     known = admission.endpoint()
     if known is None:
         return False
-    queue = known.slots * QUEUE_PER_SLOT
-    if not request.urgent:
-        queue *= 1 - RESERVED
-    return request.running >= known.slots + max(1.0, queue)
-
-
-def queue_limit(slots: int) -> float:
-    """Return how many requests an endpoint with these slots may hold."""
-    return slots + max(1.0, slots * QUEUE_PER_SLOT)
+    return request.running >= queue_limit(known.slots, request.urgent)
 
 
 @CHECKS.register("too many flows")
--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -1,5 +1,7 @@
 """Keeps the view, from the metadata store and from other daemons."""
 
+import dataclasses
+
 import anyio
 
 from bramleypin import errors
@@ -25,15 +27,13 @@
 class ViewKeeper(kernel_module.Service):
     """Holds the newest view; its revision never falls.
 
-    ``contact_s`` is when the store last answered. Registrations that lapsed
-    during an outage of the store stay for as long as the deployment says that
-    a living endpoint needs to be listed again.
+    Registrations that lapsed during an outage of the store stay for as long
+    as the deployment says that a living endpoint needs to be listed again.
     """
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self.view = view_module.EMPTY
-        self.contact_s = float("-inf")
         self._changed = anyio.Event()
         self._lapse_by_id: dict[str, float] = {}
         self._trust_removals_s = float("-inf")
@@ -167,14 +167,6 @@
         """Wait until another view is in force."""
         await self._changed.wait()
 
-    def contact(self) -> None:
-        """Note that the store has answered."""
-        now_s = anyio.current_time()
-        gap_s = now_s - self.contact_s
-        if self.view.loaded and gap_s > OUTAGE_S + WATCH_WAIT_S:
-            _log.info("the store answers again", after_s=round(gap_s, 3))
-        self.contact_s = now_s
-
     def hold_removals(self) -> None:
         """Keep lapsed registrations for a while after an outage."""
         grace_s = self.kernel.settings.bounds.lapsed_entry_s
@@ -199,14 +191,8 @@
             del self._lapse_by_id[id_]
             if endpoint_by_id.pop(id_, None) is not None:
                 _log.info("endpoint was not listed again", endpoint=id_)
-        view = self.view
         self._replace(
-            view_module.View(
-                view.revision,
-                view.configuration,
-                endpoint_by_id,
-                view.domains_out,
-            )
+            dataclasses.replace(self.view, endpoint_by_id=endpoint_by_id)
         )
 
 
@@ -259,7 +245,6 @@
                         self._keeper.hold_removals()
                 retry_s, failed_s = FIRST_RETRY_S, None
                 self.failing = False
-                self._keeper.contact()
                 self._keeper.apply(changes)
                 self._listed = True
 
