Keep the answers to a view's lookups with the view

Cause: an agent scanned all registrations about seven times for each opening and once for each packet with data, and all routes for the priority of each opening; balancers scanned them once more. Views and configurations never change, so the same scan gave the same answer. Ruled out: a cache in the admission service, which would have served only one of the two callers.

Change: View keeps the endpoints by host of each service, Configuration the highest priority of each service's routes, from the first question on.

Measured: time for one opening's admission, in process, 10 endpoints and 5 routes 17.2 to 14.1 us, 52 and 26: 47.2 to 10.8 us, 7,400 and 3,700 (the target size): 1,984 to 27.3 us. 99 tests of the stream modules pass unchanged.

--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -117,15 +117,12 @@
 
     def is_urgent(self, destination: tuple[int, int]) -> bool:
         """Tell whether no route to the service has a higher priority."""
-        routes = self._keeper.view.configuration.route_by_address
-        route = routes.get(destination)
+        configuration = self._keeper.view.configuration
+        route = configuration.route_by_address.get(destination)
         if route is None:
             return False
         service = self.settings.service
-        return not any(
-            other.priority < route.priority and other.allows(service)
-            for other in routes.values()
-        )
+        return route.priority <= configuration.highest_priority(service)
 
     def decide(self, request: Request) -> str:
         """Return why an opening cannot be taken; "" when it can."""
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -1,6 +1,7 @@
 """What a daemon believes about routes, endpoints and failure domains."""
 
 import dataclasses
+import math
 import typing
 
 from bramleypin.internal.stream import segment
@@ -99,12 +100,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the configuration."""
+    """One version of the configuration; it does not change."""
 
     version: int
     route_by_address: dict[tuple[int, int], Route]
     service_by_name: dict[str, Service]
     idle_s: float
+    _urgent_by_service: dict[str, float] = dataclasses.field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
+
+    def highest_priority(self, service: str) -> float:
+        """Return the lowest number among the priorities of its routes.
+
+        Infinite when no route allows the service. It is asked for at each
+        opening, so the answer is kept.
+        """
+        found = self._urgent_by_service.get(service)
+        if found is None:
+            found = min(
+                (
+                    route.priority
+                    for route in self.route_by_address.values()
+                    if route.allows(service)
+                ),
+                default=math.inf,
+            )
+            self._urgent_by_service[service] = found
+        return found
 
 
 NO_CONFIGURATION = Configuration(-1, {}, {}, DEFAULT_IDLE_S)
@@ -112,12 +135,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
-    """The state of the metadata store at one revision."""
+    """The state of the metadata store at one revision; it does not change."""
 
     revision: int
     configuration: Configuration
     endpoint_by_id: dict[str, Endpoint]
     domains_out: frozenset[str]
+    _by_host_by_service: dict[str, dict[str, Endpoint]] = dataclasses.field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     @property
     def loaded(self) -> bool:
@@ -125,7 +151,18 @@
         return self.configuration.version >= 0
 
     def endpoint_by_host(self, service: str) -> dict[str, Endpoint]:
-        """Return a service's endpoints, the newest one of each host."""
+        """Return a service's endpoints, the newest one of each host.
+
+        Callers must not change the answer: it is asked for several times for
+        each opening and packet, and is kept.
+        """
+        found = self._by_host_by_service.get(service)
+        if found is None:
+            found = self._newest_by_host(service)
+            self._by_host_by_service[service] = found
+        return found
+
+    def _newest_by_host(self, service: str) -> dict[str, Endpoint]:
         newest: dict[str, Endpoint] = {}
         for endpoint in self.endpoint_by_id.values():
             if endpoint.service != service:
