Build a daemon's entry in the VM list in one place

Cause: members, the demonstration, the matrix and the try-out stand-in each copied the same five fields of the settings into a Vm.

Change: vms.of_daemon(settings) serves all four.

--- a/src/bramleypin/demo/deployment.py
+++ b/src/bramleypin/demo/deployment.py
@@ -61,14 +61,7 @@
     @property
     def vm(self) -> vms.Vm:
         """The host's entry in the VM list."""
-        item = self.settings
-        return vms.Vm(
-            item.id,
-            item.role,
-            item.failure_domain,
-            item.addresses.data,
-            item.addresses.control,
-        )
+        return vms.of_daemon(self.settings)
 
 
 class _CountingPort:
--- a/src/bramleypin/internal/membership/members.py
+++ b/src/bramleypin/internal/membership/members.py
@@ -29,14 +29,7 @@
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
-        settings = kernel.settings
-        self.own = vms.Vm(
-            settings.id,
-            settings.role,
-            settings.failure_domain,
-            settings.addresses.data,
-            settings.addresses.control,
-        )
+        self.own = vms.of_daemon(kernel.settings)
         self.version = 0
         self.vm_by_id: dict[str, vms.Vm] = {}
         self.contacts_by_domain: dict[str, list[vms.Vm]] = {}
--- a/src/bramleypin/internal/model/vms.py
+++ b/src/bramleypin/internal/model/vms.py
@@ -8,6 +8,7 @@
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal.model import configuration
+from bramleypin import settings as settings_module
 
 FORMAT = 1
 
@@ -28,6 +29,17 @@
         return address.parse(self.control)
 
 
+def of_daemon(settings: settings_module.Settings) -> Vm:
+    """Return the entry of the VM that runs a daemon with these settings."""
+    return Vm(
+        settings.id,
+        settings.role,
+        settings.failure_domain,
+        settings.addresses.data,
+        settings.addresses.control,
+    )
+
+
 class VmList(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The list; ``version`` grows with every change.
 
--- a/src/bramleypin/matrix/deployment.py
+++ b/src/bramleypin/matrix/deployment.py
@@ -65,14 +65,7 @@
     @property
     def vm(self) -> vms.Vm:
         """The daemon's entry in the VM list."""
-        item = self.settings
-        return vms.Vm(
-            item.id,
-            item.role,
-            item.failure_domain,
-            item.addresses.data,
-            item.addresses.control,
-        )
+        return vms.of_daemon(self.settings)
 
 
 def _balancer_settings(domain: str, host: str) -> settings_module.Settings:
--- a/src/bramleypin/standins/try_out.py
+++ b/src/bramleypin/standins/try_out.py
@@ -40,16 +40,7 @@
     all_settings: list[settings_module.Settings],
 ) -> None:
     """Publish the VM list of the daemons with these settings."""
-    listed = tuple(
-        vms.Vm(
-            item.id,
-            item.role,
-            item.failure_domain,
-            item.addresses.data,
-            item.addresses.control,
-        )
-        for item in all_settings
-    )
+    listed = tuple(vms.of_daemon(item) for item in all_settings)
     source.put("vms", vms.encode(vms.VmList(vms.FORMAT, 1, listed)))
 
 
