Name the failures of HTTP exchanges once; test an agent's pass-on

Cause: the readiness server and two clients listed the same exceptions of anyio and h11; and the rule that an agent passes on what its silent endpoint leaves had no test that failed without it, because the balancer's timer covers for it.

Change: http_response.FAILURES serves the three; the older client now also names ClosedResourceError, which it cannot meet. A test with the balancer's timer out of the way shows the agent's own.

--- a/src/bramleypin/internal/net/http_response.py
+++ b/src/bramleypin/internal/net/http_response.py
@@ -6,6 +6,15 @@
 
 RECEIVE_BYTES = 65_536
 
+# What the streams of anyio and h11 raise when an exchange fails.
+FAILURES = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    h11.ProtocolError,
+)
+
 
 async def read(
     connection: h11.Connection,
--- a/src/bramleypin/internal/net/platform.py
+++ b/src/bramleypin/internal/net/platform.py
@@ -72,12 +72,7 @@
             raise errors.PlatformUnavailable(
                 f"no answer for {key} within {timeout_s:g} s"
             ) from error
-        except (
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.EndOfStream,
-            h11.ProtocolError,
-        ) as error:
+        except http_response.FAILURES as error:
             raise errors.PlatformUnavailable(f"{key}: {error}") from error
         return _value(key, status, headers, body)
 
--- a/src/bramleypin/internal/stream/readiness.py
+++ b/src/bramleypin/internal/stream/readiness.py
@@ -5,6 +5,7 @@
 import h11
 
 from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.net import http_response
 from bramleypin.internal.observe import logs
 
 RECEIVE_BYTES = 4_096
@@ -50,13 +51,7 @@
                 with anyio.move_on_after(IDLE_S) as scope:
                     while await self._answer_one(connection, stream):
                         scope.deadline = anyio.current_time() + IDLE_S
-        except (
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            anyio.EndOfStream,
-            h11.ProtocolError,
-        ) as error:
+        except http_response.FAILURES as error:
             _log.limited("connection", "connection ended", error=repr(error))
 
     async def _answer_one(
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -89,13 +89,7 @@
             raise errors.PlatformUnavailable(
                 f"{path}: no answer within {timeout_s:g} s"
             ) from error
-        except (
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            anyio.EndOfStream,
-            h11.ProtocolError,
-        ) as error:
+        except http_response.FAILURES as error:
             await self.aclose()
             raise errors.PlatformUnavailable(
                 f"{path}: {type(error).__name__}: {error}"
--- a/tests/failures/test_stream_flows.py
+++ b/tests/failures/test_stream_flows.py
@@ -1,10 +1,12 @@
 """Stream flows on a whole virtual deployment, one fault each."""
 
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
 
+from bramleypin.internal.stream import openings
 from bramleypin.standins import stream_fleet
 from bramleypin.standins import virtual_network
 
@@ -108,6 +110,19 @@
         self.assertEqual({"answered"}, kinds(outcomes))
         self.assertLess(max(item.seconds for item in outcomes), 0.4)
 
+    def test_an_agent_passes_on_what_a_silent_endpoint_leaves(self):
+        """Guards against openings that only a balancer's timer saves."""
+
+        async def scenario(fleet):
+            caller = await build(fleet)
+            fleet.endpoint_by_name["e0"].silent = True
+            return await load(caller, 40, 3)
+
+        with mock.patch.object(openings, "ANSWER_TIMEOUT_S", 10.0):
+            outcomes = play(scenario)
+        self.assertEqual({"answered"}, kinds(outcomes))
+        self.assertLess(max(item.seconds for item in outcomes), 0.4)
+
     def test_a_dead_agent_costs_no_later_request(self):
         """Guards against openings that wait for a machine that is gone."""
 
