Never open a flow a second time while its opening is in progress

Cause: only two of the three callers of Openings.begin checked that. A search that ends without an owner after the delayed first copy has been offered replaced the opening: a second endpoint got it, and the first one's offer numbers were never forgotten.

Change: begin itself keeps an opening in progress, and the check at early openings goes. Offer numbers now lead to the opening directly.

Measured: test_a_flow_in_progress_is_not_opened_a_second_time failed before (two offers) and passes; the other tests of stream flows pass unchanged.

--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -257,10 +257,9 @@
     def _begin_early(self, packet: segment.Segment, arrived_s: float) -> None:
         configuration = self._keeper.view.configuration
         route = configuration.route_by_address.get(packet.destination)
-        flow = packet.flow_from_caller()
         if route is None:
-            self._without_route(flow, packet)
-        elif flow not in self._openings.opening_by_flow:
+            self._without_route(packet.flow_from_caller(), packet)
+        else:
             self._openings.begin(packet, route, arrived_s)
 
     async def _purge(self) -> None:
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -85,7 +85,7 @@
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self.opening_by_flow: dict[segment.Flow, Opening] = {}
-        self._flow_by_number: dict[int, segment.Flow] = {}
+        self._opening_by_number: dict[int, Opening] = {}
         self._number = kernel.environment.random.getrandbits(31)
         self._keeper = kernel.get("view")
         self._peers = kernel.get("peer_port")
@@ -104,10 +104,12 @@
 
         ``arrived_s`` is when the packet arrived. The time that the caller
         has waited already counts, or slots would go to callers that are
-        about to give up.
+        about to give up. A flow whose opening is in progress keeps it.
         """
-        copies = min(packet.acknowledged, len(COPY_AGE_S) - 1)
         flow = packet.flow_from_caller()
+        if flow in self.opening_by_flow:
+            return
+        copies = min(packet.acknowledged, len(COPY_AGE_S) - 1)
         opening = Opening(
             flow=flow,
             packet=packet.raw,
@@ -132,7 +134,7 @@
             return
         self._number = (self._number + 1) & 0x7FFFFFFF
         opening.numbers.append(self._number)
-        self._flow_by_number[self._number] = opening.flow
+        self._opening_by_number[self._number] = opening
         view = self._keeper.view
         opening.host = hosts[0]
         opening.due_s = now_s + ANSWER_TIMEOUT_S
@@ -165,8 +167,7 @@
 
     def _on_opened(self, message: frames.Opened, _: bytes, host: str) -> None:
         self._loads.learn(message.report, host)
-        flow = self._flow_by_number.get(message.opening)
-        opening = self.opening_by_flow.get(flow) if flow else None
+        opening = self._opening_by_number.get(message.opening)
         if opening is None:
             return
         if message.outcome == "taken":
@@ -175,7 +176,7 @@
             waited_s = anyio.current_time() - opening.started_s
             _log.info(
                 "opening taken",
-                flow=str(flow),
+                flow=str(opening.flow),
                 host=host,
                 service=opening.service,
                 route=opening.route.name,
@@ -194,7 +195,7 @@
             _log.limited(
                 "refused",
                 "an agent refused an opening",
-                flow=str(flow),
+                flow=str(opening.flow),
                 host=host,
                 reason=message.reason,
             )
@@ -216,7 +217,7 @@
     def _end(self, opening: Opening) -> None:
         self.opening_by_flow.pop(opening.flow, None)
         for number in opening.numbers:
-            self._flow_by_number.pop(number, None)
+            self._opening_by_number.pop(number, None)
 
     async def run(self) -> None:
         """Offer openings that were not answered to the next agent."""
