--- a/tests/failures/test_matrix.py
+++ b/tests/failures/test_matrix.py
@@ -25,7 +25,7 @@
     *plan.sample_of_pairs(PAIRS),
     *(cell.parse(text, seed) for text, seed in FOUND_CELLS),
 )
-WORKERS = min(pool.MAX_WORKERS, max(1, (os.cpu_count() or 1) // 2))
+WORKERS = min(pool.MAX_WORKERS, os.cpu_count() or 1)
 
 _result_by_cell: dict[str, cell.Result] = {}
 
