List a silent store with overlapping attempts, and wait for lapsed endpoints

Each listing waited 1.5 s for an answer that never came, although the store was back before; then the store had none of the lapsed registrations, and the daemon did not know of an outage, since it measured it from the first timeout and not from the request. So openings were reset for no endpoint in service.

Ruled out: a router without balancers (requests reached them), and the agents' refusals (none was asked).

A process without a view now starts another listing every 0.1 to 0.3 s, on a connection of its own, and takes the first answer. After the first listing a service without any endpoint is doubted for as long as a living endpoint needs to be listed again.

--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -158,7 +158,7 @@
         """Ask again later, unless no endpoint may take the flow at all."""
         opening.tried_hosts.clear()
         none_left = not self._loads.eligible(opening.service)
-        if none_left and self._keeper.settled():
+        if none_left and self._keeper.settled(opening.service):
             self._refuse(opening, "no endpoint in service")
             return
         opening.host = ""
--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -15,8 +15,12 @@
 WATCH_WAIT_S = 4.0
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.8
-# Callers wait while a daemon has no view at all.
-NO_VIEW_RETRY_S = 0.2
+# Callers wait while a daemon has no view at all, so the next listing starts
+# before the last one has timed out: the store may have come back since. The
+# store answers in 4 ms; the interval grows, as each call is charged.
+FIRST_HEDGE_S = 0.1
+MAX_HEDGE_S = 0.3
+HEDGE_GROWTH = 1.3
 # A gap of at least this length may have let registrations lapse.
 OUTAGE_S = 1.0
 
@@ -37,6 +41,7 @@
         self._changed = anyio.Event()
         self._lapse_by_id: dict[str, float] = {}
         self._trust_removals_s = float("-inf")
+        self._trust_listing_s = float("-inf")
         self._former: list[tuple[float, view_module.Configuration]] = []
 
     def services_of(self, address: tuple[int, int]) -> set[str]:
@@ -172,13 +177,26 @@
         grace_s = self.kernel.settings.bounds.lapsed_entry_s
         self._trust_removals_s = anyio.current_time() + grace_s
 
-    def settled(self) -> bool:
-        """Tell whether missing endpoints are known to be gone.
+    def note_first_listing(self) -> None:
+        """Doubt services without an endpoint for a while.
+
+        Registrations may have lapsed in an outage before this process began.
+        """
+        grace_s = self.kernel.settings.bounds.lapsed_entry_s
+        self._trust_listing_s = anyio.current_time() + grace_s
+
+    def settled(self, service: str) -> bool:
+        """Tell whether a service's missing endpoints are known to be gone.
 
         Just after an outage of the store, living endpoints may be missing
         from it.
         """
-        return anyio.current_time() >= self._trust_removals_s
+        now_s = anyio.current_time()
+        if now_s < self._trust_removals_s:
+            return False
+        if self.view.endpoint_by_host(service):
+            return True
+        return now_s >= self._trust_listing_s
 
     def drop_lapsed(self) -> None:
         """Remove the endpoints that were not listed again in time."""
@@ -216,7 +234,11 @@
         failed_s: float | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._drop_lapsed)
+            await self._read_first()
             while True:
+                # A request that stays silent fails long after the outage
+                # began, so the outage counts from the request on.
+                asked_s = anyio.current_time()
                 try:
                     changes = await self._next()
                 except errors.PlatformHistoryLost as error:
@@ -226,17 +248,10 @@
                 except errors.PlatformUnavailable as error:
                     self.failing = True
                     if failed_s is None:
-                        failed_s = anyio.current_time()
-                        _log.warning(
-                            "the store does not answer",
-                            error=str(error),
-                            revision=self._keeper.view.revision,
-                        )
+                        failed_s = asked_s
+                        self._log_failure(error)
                     await anyio.sleep(retry_s * (0.5 + self._random.random()))
-                    slowest_s = MAX_RETRY_S
-                    if not self._keeper.view.loaded:
-                        slowest_s = NO_VIEW_RETRY_S
-                    retry_s = min(slowest_s, 2 * retry_s)
+                    retry_s = min(MAX_RETRY_S, 2 * retry_s)
                     continue
                 if failed_s is not None:
                     outage_s = anyio.current_time() - failed_s
@@ -248,6 +263,46 @@
                 self._keeper.apply(changes)
                 self._listed = True
 
+    def _log_failure(self, error: errors.PlatformUnavailable) -> None:
+        _log.warning(
+            "the store does not answer",
+            error=str(error),
+            revision=self._keeper.view.revision,
+        )
+
+    async def _read_first(self) -> None:
+        """List the store for the first time, with overlapping attempts."""
+        started_s = anyio.current_time()
+        hedge_s = FIRST_HEDGE_S
+        async with anyio.create_task_group() as attempts:
+            while not self._listed:
+                attempts.start_soon(self._attempt_first, attempts.cancel_scope)
+                await anyio.sleep(hedge_s)
+                hedge_s = min(MAX_HEDGE_S, hedge_s * HEDGE_GROWTH)
+                if self._keeper.view.loaded:
+                    # Another daemon has told its view meanwhile.
+                    hedge_s = MAX_RETRY_S
+        self.failing = False
+        _log.info(
+            "store listed",
+            after_s=round(anyio.current_time() - started_s, 3),
+            revision=self._keeper.view.revision,
+        )
+
+    async def _attempt_first(self, attempts: anyio.CancelScope) -> None:
+        try:
+            changes = await self._source.read()
+        except errors.PlatformUnavailable as error:
+            if not self.failing:
+                self.failing = True
+                self._log_failure(error)
+            return
+        if not self._listed:
+            self._listed = True
+            self._keeper.note_first_listing()
+            self._keeper.apply(changes)
+        attempts.cancel()
+
     async def _next(self) -> view_module.Changes:
         if not self._listed:
             return await self._source.read()
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -32,54 +32,28 @@
     has_more: bool = False
 
 
-class StoreClient:
-    """Implements ``view.ViewSource``; keeps one connection open."""
+class _Connection:
+    """One connection to the store, opened by the first request on it."""
 
     def __init__(self, at: address.Address):
         self._address = at
         self._stream: anyio.abc.ByteStream | None = None
         self._connection: h11.Connection | None = None
 
-    async def read(self) -> view.Changes:
-        """List everything."""
-        found: list[decoding.Item] = []
-        revision = None
-        after = ""
-        for _ in range(MAX_PAGES):
-            query = {"prefix": ""}
-            if after:
-                query["after"] = after
-            page = await self._get(RANGE_PATH, query, READ_TIMEOUT_S)
-            # Pages are no snapshot: changes after the first page are watched.
-            revision = page.as_of if revision is None else revision
-            found += page.items
-            if not page.has_more or not page.items:
-                break
-            after = page.items[-1].key
-        return decoding.decode(
-            found, revision or 0, anyio.current_time(), True
-        )
-
-    async def watch(self, after: int, wait_s: float) -> view.Changes:
-        """Wait for changes after a revision; empty ones after ``wait_s``."""
-        query = {
-            "prefix": "",
-            "after": str(after),
-            "wait_ms": str(int(wait_s * 1000)),
-        }
-        page = await self._get(WATCH_PATH, query, wait_s + READ_TIMEOUT_S)
-        now_s = anyio.current_time()
-        return decoding.decode(page.events, page.as_of, now_s, False)
-
     async def aclose(self) -> None:
-        """Close the connection."""
+        """Close the connection; the next request opens it anew."""
         stream, self._stream, self._connection = self._stream, None, None
         if stream is not None:
             await anyio.aclose_forcefully(stream)
 
-    async def _get(
+    async def get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> _Page:
+        """Send a request and return the page that answers it.
+
+        :raises errors.PlatformUnavailable: when no usable answer comes.
+        :raises errors.PlatformHistoryLost: when the history is discarded.
+        """
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             with anyio.fail_after(timeout_s):
@@ -127,3 +101,56 @@
         else:
             await self.aclose()
         return status, body
+
+
+class StoreClient:
+    """Implements ``view.ViewSource``.
+
+    Watches share one connection. Each listing has a connection of its own,
+    so that one that stays silent does not hold up the next.
+    """
+
+    def __init__(self, at: address.Address):
+        self._address = at
+        self._watching = _Connection(at)
+
+    async def read(self) -> view.Changes:
+        """List everything."""
+        connection = _Connection(self._address)
+        found: list[decoding.Item] = []
+        revision = None
+        after = ""
+        try:
+            for _ in range(MAX_PAGES):
+                query = {"prefix": ""}
+                if after:
+                    query["after"] = after
+                page = await connection.get(RANGE_PATH, query, READ_TIMEOUT_S)
+                # Pages are no snapshot: changes after the first page are
+                # watched.
+                revision = page.as_of if revision is None else revision
+                found += page.items
+                if not page.has_more or not page.items:
+                    break
+                after = page.items[-1].key
+        finally:
+            await connection.aclose()
+        return decoding.decode(
+            found, revision or 0, anyio.current_time(), True
+        )
+
+    async def watch(self, after: int, wait_s: float) -> view.Changes:
+        """Wait for changes after a revision; empty ones after ``wait_s``."""
+        query = {
+            "prefix": "",
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        timeout_s = wait_s + READ_TIMEOUT_S
+        page = await self._watching.get(WATCH_PATH, query, timeout_s)
+        now_s = anyio.current_time()
+        return decoding.decode(page.events, page.as_of, now_s, False)
+
+    async def aclose(self) -> None:
+        """Close the connection that watches use."""
+        await self._watching.aclose()
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -24,6 +24,8 @@
 ENDPOINT_PORT = 7003
 OUTBOUND_PORT = 7004
 STORE_ANSWER_S = 0.004
+# As long as the real client waits for a listing.
+SILENT_TIMEOUT_S = 1.5
 SERVICE_HOST = segment.host_number("198.18.0.1")
 
 
@@ -61,7 +63,10 @@
 
 
 class Store:
-    """The metadata store; ``refused_hosts`` are turned away."""
+    """The metadata store; ``refused_hosts`` are turned away.
+
+    Requests that arrive while it is ``silent`` are never answered.
+    """
 
     def __init__(self):
         self.revision = 1
@@ -69,6 +74,7 @@
         self.endpoint_by_id: dict[str, view.Endpoint] = {}
         self.domains_out: set[str] = set()
         self.down = False
+        self.silent = False
         self.refused_hosts: set[str] = set()
         self._log: list[tuple[int, str, object]] = []
         self._oldest = 0
@@ -110,7 +116,10 @@
         """Discard the changes so far."""
         self._oldest = self.revision
 
-    def _check(self, host: str) -> None:
+    async def _check(self, host: str) -> None:
+        if self.silent:
+            await anyio.sleep(SILENT_TIMEOUT_S)
+            raise errors.PlatformUnavailable("the stand-in stays silent")
         if self.down or host in self.refused_hosts:
             raise errors.PlatformUnavailable("the stand-in refuses")
 
@@ -120,7 +129,7 @@
     async def read(self, host: str) -> view.Changes:
         """Return everything."""
         await anyio.sleep(STORE_ANSWER_S)
-        self._check(host)
+        await self._check(host)
         known = self.configuration.version >= 0
         return view.Changes(
             self.revision,
@@ -137,13 +146,13 @@
     ) -> view.Changes:
         """Return the changes after a revision, once there are some."""
         await anyio.sleep(STORE_ANSWER_S)
-        self._check(host)
+        await self._check(host)
         if after < self._oldest:
             raise errors.PlatformHistoryLost("the stand-in has forgotten")
         with anyio.move_on_after(wait_s):
             while self.revision <= after:
                 await self._changed.wait()
-                self._check(host)
+                await self._check(host)
         changes = [item for item in self._log if item[0] > after]
         by_kind: dict[str, list] = {}
         for _, kind, value in changes:
--- a/tests/failures/test_stream_flows.py
+++ b/tests/failures/test_stream_flows.py
@@ -343,6 +343,61 @@
         answered = [item for item in outcomes if item.kind == "answered"]
         self.assertGreaterEqual(len(answered), 0.95 * len(outcomes))
 
+    def test_endpoints_that_lapsed_in_an_outage_are_waited_for(self):
+        """Guards against resets while living endpoints are missing.
+
+        Pattern: all daemons restart while the store is silent, and find it
+        without the registrations that lapsed meanwhile.
+        """
+
+        async def scenario(fleet):
+            caller = await build(fleet)
+            daemons = [
+                *fleet.balancer_by_name.values(),
+                *fleet.agent_by_name.values(),
+            ]
+            for daemon in daemons:
+                daemon.kill()
+            lapsed = list(fleet.store.endpoint_by_id)
+            for id_ in lapsed:
+                fleet.store.remove(id_)
+            for daemon in daemons:
+                daemon.start()
+            outcomes = []
+
+            async def send():
+                outcomes.extend(await load(caller, 40, 1, 2.0))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send)
+                await anyio.sleep(0.8)
+                for id_ in lapsed:
+                    fleet.store.put(fleet.registration(id_))
+            return outcomes
+
+        self.assertEqual({"answered"}, kinds(play(scenario)))
+
+    def test_a_silent_store_is_asked_again_before_it_times_out(self):
+        """Guards against a listing that waits for an answer never sent.
+
+        Pattern: a daemon starts while the store is silent; it returns soon
+        after, but answers none of the requests from before.
+        """
+
+        async def scenario(fleet):
+            fleet.store.configure(
+                stream_fleet.configuration(1, stream_fleet.route())
+            )
+            fleet.store.silent = True
+            fleet.add_balancer("b0", "10.0.0.1", "a")
+            await anyio.sleep(0.5)
+            fleet.store.silent = False
+            await anyio.sleep(0.4)
+            keeper = fleet.balancer_by_name["b0"].kernel.get("view")
+            return keeper.view.loaded
+
+        self.assertTrue(play(scenario))
+
 
 class OverloadTest(unittest.TestCase):
     """Pattern: half of the endpoints lost while callers go on as before."""
