Fetch a group of changes of the store in one call

Each change woke the watch of every daemon, and a call is charged. After some changes have arrived, the next watch starts 0.3 s later and fetches the rest of the group; the tightest bound for a change is 3 s.

--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -13,6 +13,10 @@
 # costs more calls. The bound for a drained endpoint is 3 s in the deployments
 # that run today.
 WATCH_WAIT_S = 4.0
+# Changes come in groups, as when several endpoints start. After some have
+# arrived, the next watch starts this much later and fetches the rest of the
+# group in one call. It is a tenth of the tightest bound, 3 s for a change.
+GROUP_S = 0.3
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.8
 # Callers wait while a daemon has no view at all, so the next listing starts
@@ -260,8 +264,11 @@
                         self._keeper.hold_removals()
                 retry_s, failed_s = FIRST_RETRY_S, None
                 self.failing = False
+                changed = changes.revision > self._keeper.view.revision
                 self._keeper.apply(changes)
                 self._listed = True
+                if changed:
+                    await anyio.sleep(GROUP_S)
 
     def _log_failure(self, error: errors.PlatformUnavailable) -> None:
         _log.warning(
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -76,6 +76,7 @@
         self.down = False
         self.silent = False
         self.refused_hosts: set[str] = set()
+        self.calls = 0
         self._log: list[tuple[int, str, object]] = []
         self._oldest = 0
         self._changed = anyio.Event()
@@ -128,6 +129,7 @@
 
     async def read(self, host: str) -> view.Changes:
         """Return everything."""
+        self.calls += 1
         await anyio.sleep(STORE_ANSWER_S)
         await self._check(host)
         known = self.configuration.version >= 0
@@ -145,6 +147,7 @@
         self, host: str, after: int, wait_s: float
     ) -> view.Changes:
         """Return the changes after a revision, once there are some."""
+        self.calls += 1
         await anyio.sleep(STORE_ANSWER_S)
         await self._check(host)
         if after < self._oldest:
--- a/tests/failures/test_stream_flows.py
+++ b/tests/failures/test_stream_flows.py
@@ -306,6 +306,35 @@
 
         self.assertEqual("answered", play(scenario).kind)
 
+    def test_a_group_of_changes_costs_few_calls(self):
+        """Guards against a call for each change from each daemon.
+
+        Pattern: all endpoints start at once, and stop being cold at once.
+        """
+
+        async def scenario(fleet):
+            await build(fleet)
+            before = fleet.store.calls
+            for number in range(20):
+                changed = fleet.registration("e1", cold_s=2.0 - number / 10)
+                fleet.store.put(changed)
+                await anyio.sleep(0.02)
+            await anyio.sleep(1.0)
+            revisions = {
+                daemon.kernel.get("view").view.revision
+                for daemon in (
+                    *fleet.balancer_by_name.values(),
+                    *fleet.agent_by_name.values(),
+                )
+            }
+            return fleet.store.calls - before, revisions, fleet.store.revision
+
+        calls, revisions, newest = play(scenario)
+        self.assertEqual({newest}, revisions)
+        # Five daemons; each hears of the first change, and fetches the rest
+        # of 0.4 s in two more calls. One more watch waits.
+        self.assertLessEqual(calls, 5 * 4)
+
 
 class RecoveryTest(unittest.TestCase):
     @parameterized.parameterized.expand([(0.0,), (1.0,)])
