Let a few relays watch the store for all daemons

One agent of each failure domain now watches the store and tells its followers what changed. A follower depends on none of them: unless a relay has confirmed the view's revision within the last second, it watches the store itself.

Ruled out: a longer wait of each watch (changes, not waits, make the calls), and stale reads (they may be seconds old).

Tests: every kind of change, with the relays' store silent, refusing, the relays killed, paused or unheard, is in force at all others within the bound.

--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -24,6 +24,7 @@
     "bramleypin.internal.observe.metrics",
     "bramleypin.internal.stream.view_keeper",
     "bramleypin.internal.stream.peer_port",
+    "bramleypin.internal.stream.relay",
     "bramleypin.internal.stream.readiness",
     "bramleypin.internal.stream.leaving",
     "bramleypin.internal.stream.exchange",
--- a/src/bramleypin/internal/stream/settings.py
+++ b/src/bramleypin/internal/stream/settings.py
@@ -15,7 +15,8 @@
     listed again after an outage of the metadata store, ``flow_lifetime_s``
     the age above which a flow may be discarded. A cold endpoint may get
     ``cold_factor`` times its announced rate and ``cold_burst`` requests more
-    in any second.
+    in any second. A change that the store has accepted must be in force
+    within ``change_s``.
     """
 
     shutdown_grace_s: float = 6.0
@@ -23,6 +24,7 @@
     flow_lifetime_s: float = 60.0
     cold_factor: float = 1.5
     cold_burst: float = 5.0
+    change_s: float = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -199,6 +199,18 @@
     domains_returned: tuple[str, ...]
     complete: bool = False
 
+    @property
+    def empty(self) -> bool:
+        """Whether they change nothing but the revision."""
+        return not (
+            self.complete
+            or self.configuration is not None
+            or self.endpoints
+            or self.removed_ids
+            or self.domains_out
+            or self.domains_returned
+        )
+
 
 class ViewSource(typing.Protocol):
     """The metadata store, decoded; it is only read."""
--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -70,6 +70,8 @@
         now_s = anyio.current_time()
         if changes.revision < old.revision:
             return
+        if changes.empty and changes.revision == old.revision:
+            return
         endpoint_by_id = dict(old.endpoint_by_id)
         removed = set(changes.removed_ids)
         if changes.complete:
@@ -219,14 +221,17 @@
 
 
 @kernel_module.service(
-    "view_reader", roles=("stream_balancer", "stream_agent"), needs=("view",)
+    "view_reader",
+    roles=("stream_balancer", "stream_agent"),
+    needs=("view", "relay"),
 )
 class ViewReader(kernel_module.Service):
-    """Lists the store once, then watches it."""
+    """Lists the store once, then watches it while no relay does."""
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self._keeper: ViewKeeper = kernel.get("view")
+        self._relay = kernel.get("relay")
         self._source: view_module.ViewSource = kernel.environment.platform
         self._random = kernel.environment.random
         self._listed = False
@@ -240,6 +245,7 @@
             tasks.start_soon(self._drop_lapsed)
             await self._read_first()
             while True:
+                await self._relay.wait_for_doubt()
                 # A request that stays silent fails long after the outage
                 # began, so the outage counts from the request on.
                 asked_s = anyio.current_time()
@@ -264,6 +270,7 @@
                         self._keeper.hold_removals()
                 retry_s, failed_s = FIRST_RETRY_S, None
                 self.failing = False
+                self._relay.confirmed()
                 changed = changes.revision > self._keeper.view.revision
                 self._keeper.apply(changes)
                 self._listed = True
@@ -306,6 +313,7 @@
             return
         if not self._listed:
             self._listed = True
+            self._relay.confirmed()
             self._keeper.note_first_listing()
             self._keeper.apply(changes)
         attempts.cancel()
@@ -314,7 +322,10 @@
         if not self._listed:
             return await self._source.read()
         revision = self._keeper.view.revision
-        return await self._source.watch(revision, WATCH_WAIT_S)
+        wait_s = WATCH_WAIT_S
+        if self._relay.has_followers():
+            wait_s = min(wait_s, self._relay.watch_wait_s)
+        return await self._source.watch(revision, wait_s)
 
     async def _drop_lapsed(self) -> None:
         while True:
--- a/src/bramleypin/platform/boot.py
+++ b/src/bramleypin/platform/boot.py
@@ -34,6 +34,9 @@
     flow_max_s: float = 60.0
     cold_over: float = 1.5
     cold_slack: float = 5.0
+    drain_ms: float = 3_000.0
+    config_apply_ms: float = 3_000.0
+    evacuate_ms: float = 5_000.0
 
 
 class _Boot(msgspec.Struct, frozen=True):
@@ -113,6 +116,12 @@
             flow_lifetime_s=boot.bounds.flow_max_s,
             cold_factor=boot.bounds.cold_over,
             cold_burst=boot.bounds.cold_slack,
+            change_s=min(
+                boot.bounds.drain_ms,
+                boot.bounds.config_apply_ms,
+                boot.bounds.evacuate_ms,
+            )
+            / 1000,
         ),
     )
 
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -65,7 +65,8 @@
 class Store:
     """The metadata store; ``refused_hosts`` are turned away.
 
-    Requests that arrive while it is ``silent`` are never answered.
+    Requests that arrive while it is ``silent`` are never answered, and those
+    of ``silent_hosts`` are not either, also when they wait already.
     """
 
     def __init__(self):
@@ -76,6 +77,7 @@
         self.down = False
         self.silent = False
         self.refused_hosts: set[str] = set()
+        self.silent_hosts: set[str] = set()
         self.calls = 0
         self._log: list[tuple[int, str, object]] = []
         self._oldest = 0
@@ -118,7 +120,7 @@
         self._oldest = self.revision
 
     async def _check(self, host: str) -> None:
-        if self.silent:
+        if self.silent or host in self.silent_hosts:
             await anyio.sleep(SILENT_TIMEOUT_S)
             raise errors.PlatformUnavailable("the stand-in stays silent")
         if self.down or host in self.refused_hosts:
--- /dev/null
+++ b/tests/failures/test_relay.py
@@ -0,0 +1,265 @@
+"""What relays tell, and what their followers do when they cannot rely on it.
+
+The store's changes must be in force at every daemon that reaches the store
+within the deployment's bound, whatever happens to the relays.
+"""
+
+import dataclasses
+import unittest
+
+import anyio
+import parameterized
+
+from bramleypin.internal.stream import relay
+from bramleypin.internal.stream import view
+from bramleypin.internal.stream import view_delta
+from bramleypin.standins import stream_fleet
+from bramleypin.standins import virtual_network
+from tests.failures import test_stream_flows
+
+# As in the settings of a daemon that is told no bounds.
+CHANGE_S = 3.0
+
+
+async def build(fleet, balancers: int = 3, endpoints: int = 6):
+    """Start a fleet in three failure domains and let it settle."""
+    fleet.store.configure(stream_fleet.configuration(1, stream_fleet.route()))
+    for number in range(endpoints):
+        domain = "abc"[number % 3]
+        fleet.add_endpoint(f"e{number}", f"10.0.1.{number}", domain)
+    for number in range(balancers):
+        domain = "abc"[number % 3]
+        fleet.add_balancer(f"b{number}", f"10.0.0.{number + 1}", domain)
+    # The watches that began before there were relays wait for 4 s, those of
+    # the later relays too; only then are the followers' second ones over.
+    await anyio.sleep(9.0)
+
+
+def daemons(fleet):
+    """Return the daemons that run."""
+    return [
+        daemon
+        for daemon in (
+            *fleet.balancer_by_name.values(),
+            *fleet.agent_by_name.values(),
+        )
+        if daemon.process.alive
+    ]
+
+
+def relay_hosts(fleet) -> set[str]:
+    """Return the hosts whose agents have followers."""
+    return {
+        daemon.settings.host
+        for daemon in daemons(fleet)
+        if daemon.kernel.get("relay").has_followers()
+    }
+
+
+def change(fleet, kind: str) -> None:
+    """Publish one change."""
+    if kind == "configuration":
+        fleet.store.configure(
+            stream_fleet.configuration(5, stream_fleet.route(8443))
+        )
+    elif kind == "draining":
+        fleet.store.put(fleet.registration("e1", draining=True))
+    elif kind == "gone":
+        fleet.store.remove("e1")
+    else:
+        fleet.store.take_out("b")
+
+
+def reflects(view, kind: str) -> bool:
+    """Tell whether a view has the change."""
+    if kind == "configuration":
+        return view.configuration.version == 5
+    if kind == "draining":
+        return view.endpoint_by_id["e1"].draining
+    if kind == "gone":
+        return "e1" not in view.endpoint_by_id
+    return view.domains_out == {"b"}
+
+
+CHANGES = ("configuration", "draining", "gone", "out")
+# Parts of the interval at which followers ask, 0.6 s.
+PHASES_S = (0.0, 0.2, 0.4)
+FAULTS = ("none", "silent store", "refused", "killed", "cut off", "paused")
+
+
+class RelayTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (kind, fault, phase_s)
+            for kind in CHANGES
+            for fault in FAULTS
+            for phase_s in PHASES_S
+        ]
+    )
+    def test_a_change_is_in_force_within_the_bound(self, kind, fault, phase_s):
+        """Guards against followers of relays that know nothing new.
+
+        The fault strikes every relay at once, and the change comes just
+        after it. ``cut off`` loses all that the relays send to the other
+        daemons, and the store is silent to them.
+        """
+
+        async def scenario(fleet):
+            await build(fleet)
+            await anyio.sleep(phase_s)
+            hosts = relay_hosts(fleet)
+            hit = [d for d in daemons(fleet) if d.settings.host in hosts]
+            if fault in ("silent store", "cut off"):
+                fleet.store.silent_hosts |= hosts
+            if fault == "refused":
+                fleet.store.refused_hosts |= hosts
+            if fault == "cut off":
+                fleet.network.add_rule(
+                    virtual_network.Rule(
+                        lambda packet: packet.source.host in hosts, loss=1.0
+                    )
+                )
+            for daemon in hit:
+                if fault == "killed":
+                    daemon.kill()
+                if fault == "paused":
+                    daemon.process.pause()
+            # A killed process ends at the next turn of the event loop.
+            await anyio.sleep(0.01)
+            change(fleet, kind)
+            await anyio.sleep(CHANGE_S)
+            spared = () if fault == "none" else hit
+            return len(hosts), [
+                daemon.settings.id
+                for daemon in daemons(fleet)
+                if daemon not in spared
+                and not reflects(daemon.kernel.get("view").view, kind)
+            ]
+
+        relays, behind = test_stream_flows.play(scenario)
+        self.assertEqual(3, relays)
+        self.assertEqual([], behind)
+
+    def test_more_daemons_cost_hardly_more_calls(self):
+        """Guards against a watch of the store in every daemon.
+
+        Pattern: endpoints come and go all day. Calls to the store are
+        charged, and each change woke each daemon.
+        """
+
+        def calls(balancers: int) -> int:
+            async def scenario(fleet):
+                await build(fleet, balancers)
+                before = fleet.store.calls
+                for number in range(40):
+                    left_s = 100.0 - number
+                    changed = fleet.registration("e1", cold_s=left_s)
+                    fleet.store.put(changed)
+                    await anyio.sleep(0.5)
+                return fleet.store.calls - before
+
+            return test_stream_flows.play(scenario)
+
+        few, many = calls(3), calls(15)
+        # 9 and 21 daemons: calls must grow slower than the fleet.
+        self.assertLess(many / few, 21 / 9 / 2)
+        # A watch of their own would cost each of the 9 daemons 40 calls.
+        self.assertLess(few, 9 * 40 / 2)
+
+    def test_an_idle_fleet_sends_only_questions_and_answers(self):
+        """Guards against relays that tell each other the same for ever."""
+
+        async def scenario(fleet):
+            await build(fleet)
+            change(fleet, "draining")
+            await anyio.sleep(1.0)
+            before = sum(
+                daemon.kernel.get("metrics").count_by_name.get(
+                    "stream.frames_received", 0
+                )
+                for daemon in daemons(fleet)
+            )
+            await anyio.sleep(10.0)
+            after = sum(
+                daemon.kernel.get("metrics").count_by_name.get(
+                    "stream.frames_received", 0
+                )
+                for daemon in daemons(fleet)
+            )
+            return after - before
+
+        frames = test_stream_flows.play(scenario)
+        # 6 daemons follow 2 relays each and ask every 0.6 s (less by chance);
+        # each question has one answer.
+        asked = 6 * 2 * 10.0 / (CHANGE_S * relay.ASK_PART)
+        self.assertLess(frames, 2 * asked * 1.3)
+
+
+class DeltaTest(unittest.TestCase):
+    def views(self, endpoints: int):
+        """Return a view and a later one in which every endpoint changed."""
+
+        def endpoint(number, revision, draining):
+            return view.Endpoint(
+                id=f"e{number}",
+                service="desk",
+                host=f"10.0.1.{number}",
+                failure_domain="a",
+                slots=5,
+                draining=draining,
+                started_ms=1,
+                revision=revision,
+                created=1,
+                cold_s=0.0,
+                seen_s=0.0,
+            )
+
+        known = stream_fleet.configuration(1, stream_fleet.route())
+        old = view.View(
+            100,
+            known,
+            {f"e{n}": endpoint(n, n + 1, False) for n in range(endpoints)},
+            frozenset("b"),
+        )
+        new = view.View(
+            200,
+            known,
+            {f"e{n}": endpoint(n, 101 + n, True) for n in range(1, endpoints)},
+            frozenset("c"),
+        )
+        return old, new
+
+    @parameterized.parameterized.expand([(2,), (25,), (60,)])
+    def test_the_deltas_lead_from_one_view_to_the_other(self, endpoints):
+        """Guards against a follower that is told a part of a change."""
+        old, new = self.views(endpoints)
+        endpoint_by_id = dict(old.endpoint_by_id)
+        view = old
+        for delta in view_delta.between(old, new, 0.0):
+            changes = view_delta.changes_for(view, delta, 0.0)
+            self.assertIsNotNone(changes)
+            for id_ in changes.removed_ids:
+                del endpoint_by_id[id_]
+            endpoint_by_id |= {item.id: item for item in changes.endpoints}
+            view = dataclasses.replace(
+                view,
+                revision=changes.revision,
+                domains_out=(view.domains_out | set(changes.domains_out))
+                - set(changes.domains_returned),
+            )
+        self.assertEqual(new.endpoint_by_id, endpoint_by_id)
+        self.assertEqual(new.revision, view.revision)
+        self.assertEqual(new.domains_out, view.domains_out)
+
+    def test_a_follower_that_misses_a_part_applies_none_after_it(self):
+        """Guards against a revision whose earlier changes are unknown."""
+        old, new = self.views(60)
+        _, second, *_ = view_delta.between(old, new, 0.0)
+        self.assertIsNone(view_delta.changes_for(old, second, 0.0))
+
+    def test_a_delta_of_another_configuration_does_not_hold(self):
+        """Guards against a new revision with an old configuration."""
+        old, new = self.views(2)
+        (delta,) = view_delta.between(old, new, 0.0)
+        delta.version = 7
+        self.assertIsNone(view_delta.changes_for(old, delta, 0.0))
