Tell followers changes of the configuration; serve metrics; prefer a free slot

A delta now carries the changed routes; one that does not fit a frame is still read from the store.

Counters, gauges and histograms of waits, lookups and listings are served at the metrics address in the Prometheus format.

--- /dev/null
+++ b/src/bramleypin/internal/net/http_server.py
@@ -0,0 +1,81 @@
+"""A small HTTP/1.1 server for pages without a request body."""
+
+import dataclasses
+import typing
+
+import anyio
+import anyio.abc
+import h11
+
+from bramleypin.internal.net import http_response
+from bramleypin.internal.observe import logs
+
+RECEIVE_BYTES = 4_096
+# A connection that asks nothing for this long is closed.
+IDLE_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP status and the page, if there is one."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "text/plain; charset=utf-8"
+
+
+class HttpServer:
+    """Answers each request with what ``page(path)`` returns.
+
+    Failures of a connection end only that connection.
+    """
+
+    def __init__(self, page: typing.Callable[[bytes], Answer], log_part: str):
+        self._page = page
+        self._log = logs.get(log_part)
+
+    async def serve(self, stream: anyio.abc.ByteStream) -> None:
+        """Answer the requests of one connection."""
+        connection = h11.Connection(h11.SERVER)
+        try:
+            async with stream:
+                with anyio.move_on_after(IDLE_S) as scope:
+                    while await self._answer_one(connection, stream):
+                        scope.deadline = anyio.current_time() + IDLE_S
+        except http_response.FAILURES as error:
+            self._log.limited(
+                "connection", "connection ended", error=repr(error)
+            )
+
+    async def _answer_one(
+        self, connection: h11.Connection, stream: anyio.abc.ByteStream
+    ) -> bool:
+        """Answer one request; tell whether another one may follow."""
+        path = b""
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = await stream.receive(RECEIVE_BYTES)
+                except anyio.EndOfStream:
+                    data = b""
+                connection.receive_data(data)
+            elif isinstance(event, h11.Request):
+                path = event.target
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                return False
+        answer = self._page(path)
+        headers = [("Content-Length", str(len(answer.body)))]
+        if answer.body:
+            headers.append(("Content-Type", answer.content_type))
+        response = h11.Response(status_code=answer.status, headers=headers)
+        sent = connection.send(response)
+        if answer.body:
+            sent += connection.send(h11.Data(answer.body))
+        await stream.send(sent + connection.send(h11.EndOfMessage()))
+        if connection.our_state is not h11.DONE:
+            return False
+        connection.start_next_cycle()
+        return True
--- a/src/bramleypin/internal/observe/metrics.py
+++ b/src/bramleypin/internal/observe/metrics.py
@@ -1,5 +1,6 @@
 """Metrics, sent by statsd; every name is declared with unit and meaning."""
 
+import bisect
 import dataclasses
 
 import anyio
@@ -12,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Metric:
-    """A declared metric; ``kind`` is counter, gauge or timing."""
+    """A declared metric; ``kind`` is one of ``KINDS``."""
 
     name: str
     kind: str
@@ -20,7 +21,10 @@
     meaning: str
 
 
-KINDS = ("counter", "gauge", "timing")
+KINDS = ("counter", "gauge", "timing", "histogram")
+# Upper bounds of a histogram's buckets in seconds: from a frame's way inside
+# a failure domain to the time after which a caller gives an opening up.
+BUCKETS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.4)
 
 METRICS: registry.Registry[Metric] = registry.Registry("metric")
 
@@ -28,7 +32,7 @@
 def declare(name: str, kind: str, unit: str, meaning: str) -> str:
     """Declare a metric at import time and return its name.
 
-    :raises errors.UnknownName: when the kind is not one that statsd has.
+    :raises errors.UnknownName: when the kind is not one of ``KINDS``.
     """
     if kind not in KINDS:
         raise errors.UnknownName("kind of metric", kind, list(KINDS))
@@ -36,6 +40,21 @@
     return name
 
 
+@dataclasses.dataclass(slots=True)
+class Histogram:
+    """Durations by bucket; the last count is of those over every bound."""
+
+    counts: list[int] = dataclasses.field(
+        default_factory=lambda: [0] * (len(BUCKETS_S) + 1)
+    )
+    sum_s: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self.sum_s += seconds
+
+
 @kernel_module.service(
     "metrics",
     roles=("balancer", "agent", "stream_balancer", "stream_agent"),
@@ -47,6 +66,7 @@
         super().__init__(kernel)
         self.count_by_name: dict[str, int] = {}
         self.gauge_by_name: dict[str, float] = {}
+        self.histogram_by_name: dict[str, Histogram] = {}
         self._sent_by_name: dict[str, int] = {}
         self._client: statsd.StatsClient | None = None
 
@@ -72,6 +92,15 @@
         if self._client is not None:
             self._client.timing(name, seconds * 1000)
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        histogram = self.histogram_by_name.get(name)
+        if histogram is None:
+            histogram = self.histogram_by_name[name] = Histogram()
+        histogram.add(seconds)
+        if self._client is not None:
+            self._client.timing(name, seconds * 1000)
+
     def snapshot(self) -> dict[str, dict[str, float]]:
         """Return all counters and gauges since the process started."""
         return {
--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -22,6 +22,7 @@
 
 _STREAM = (
     "bramleypin.internal.observe.metrics",
+    "bramleypin.internal.observe.metrics_http",
     "bramleypin.internal.stream.view_keeper",
     "bramleypin.internal.stream.peer_port",
     "bramleypin.internal.stream.relay",
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -222,11 +222,13 @@
 
     def _grade(self, load: AgentLoad, now_s: float, late: bool) -> int:
         if load.state == "leaving":
-            return 4
+            return 5
         if load.state == "silent":
-            return 3
+            return 4
         if load.suspect_until_s > now_s:
-            return 2
+            return 3
         if load.has_no_place(late) or load.room == 0:
-            return 1
-        return 0
+            return 2
+        # An agent without a free slot passes the opening on while another
+        # endpoint is left to ask, so asking it first only costs time.
+        return 1 if load.running + load.sent_since >= load.slots else 0
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -47,6 +47,13 @@
     "Offers of an opening that an agent did not answer in time.",
 )
 
+WAITED = metrics.declare(
+    "stream.opening_wait",
+    "histogram",
+    "seconds",
+    "How long callers waited until an agent took their opening.",
+)
+
 _log = logs.get("openings")
 
 
@@ -208,6 +215,7 @@
             self._end(opening)
             self._metrics.count(OPENED)
             waited_s = anyio.current_time() - opening.started_s
+            self._metrics.observe(WAITED, waited_s)
             _log.info(
                 "opening taken",
                 flow=str(opening.flow),
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -27,6 +27,12 @@
 LOST = metrics.declare(
     "stream.lookups_lost", "counter", "flows", "Searches without an owner."
 )
+LOOKUP_TIME = metrics.declare(
+    "stream.lookup_time",
+    "histogram",
+    "seconds",
+    "How long searches for the owner of a flow took.",
+)
 
 _log = logs.get("owners")
 
@@ -150,6 +156,8 @@
         self.on_lost(search)
 
     def _end(self, search: Search) -> None:
+        started_s = search.due_s - ANSWER_TIMEOUT_S
+        self._metrics.observe(LOOKUP_TIME, anyio.current_time() - started_s)
         self.search_by_flow.pop(search.flow, None)
         self._search_by_number.pop(search.number, None)
 
--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -196,16 +196,14 @@
             hosts = self._followers.newest_first()
             if not hosts:
                 continue
-            if old.configuration is not self._told.configuration:
-                # A configuration is too long for a frame; its announcement
-                # makes the followers read the store.
-                for host in hosts:
-                    self._send_current(host)
-                continue
             now_s = anyio.current_time()
-            for delta in view_delta.between(old, self._told, now_s):
-                for host in hosts:
+            deltas = view_delta.between(old, self._told, now_s)
+            for host in hosts:
+                for delta in deltas:
                     self._peers.send(host, delta)
+                if not deltas:
+                    # The announcement makes the followers read the store.
+                    self._send_current(host)
 
     def _send_current(self, host: str) -> None:
         revision = self._keeper.view.revision
@@ -242,8 +240,8 @@
         relay = self._relay_by_host.get(host)
         if relay is None:
             return
-        relay.revision = message.revision
         view = self._keeper.view
+        relay.revision = message.revision
         if message.revision <= view.revision and message.base != view.revision:
             # The other relay, or the store, has told it already.
             return
--- a/src/bramleypin/internal/stream/settings.py
+++ b/src/bramleypin/internal/stream/settings.py
@@ -38,7 +38,8 @@
     Packets for a caller go to the caller's host at ``caller_port``.
     ``endpoint`` and ``outbound`` are the UDP addresses of the endpoint and
     for the endpoint's packets; only agents have them. ``seeds`` are daemons
-    that may know more when the metadata store cannot be reached.
+    that may know more when the metadata store cannot be reached. Metrics are
+    served at ``metrics_address``, if there is one.
     """
 
     role: str
@@ -55,6 +56,7 @@
     outbound: address.Address | None = None
     bounds: Bounds = Bounds()
     log_level: str = "INFO"
+    metrics_address: address.Address | None = None
     metrics: settings_module.Metrics = settings_module.Metrics()
 
     @property
--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -1,14 +1,15 @@
 """Changes of a view, as one daemon tells them to another."""
 
-import collections.abc
+import dataclasses
 
 import msgspec
 
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
-# An encoded endpoint takes about 100 bytes; a frame holds 4,096.
+# An encoded endpoint or route takes about 100 bytes; a frame holds 4,096.
 ENDPOINTS_PER_FRAME = 24
+MAX_ROUTES = 24
 
 
 class EndpointRecord(msgspec.Struct, array_like=True):
@@ -26,6 +27,38 @@
     cold_s: float
 
 
+class RouteRecord(msgspec.Struct, array_like=True):
+    """A route, with the fields of ``view.Route``."""
+
+    name: str
+    host: int
+    port: int
+    weight_by_service: tuple[tuple[str, float], ...]
+    idempotent: bool
+    timeout_s: float
+    target_s: float
+    priority: int
+
+
+class ServiceRecord(msgspec.Struct, array_like=True):
+    """A service, with the fields of ``view.Service``."""
+
+    name: str
+    cold_per_s: float
+    cold_start_s: float
+    max_flows: int
+
+
+class ConfigurationChange(msgspec.Struct, array_like=True):
+    """What leads to configuration ``version``; services come in full."""
+
+    version: int
+    idle_s: float
+    routes: list[RouteRecord]
+    removed_addresses: list[tuple[int, int]]
+    services: list[ServiceRecord]
+
+
 @frames.message(10)
 class Delta(frames.Message):
     """What leads from one revision of a view to a later one.
@@ -40,6 +73,7 @@
     endpoints: list[EndpointRecord]
     removed_ids: list[str]
     domains_out: list[str]
+    configuration: ConfigurationChange | None = None
 
     def view_revision(self) -> int:
         """Return the revision of the sender's view."""
@@ -77,14 +111,59 @@
     )
 
 
+def _configuration_change(
+    old: view_module.Configuration, new: view_module.Configuration
+) -> ConfigurationChange | None:
+    """Return the change; ``None`` when it is too long for a frame."""
+    known = old.route_by_address
+    routes = [
+        RouteRecord(*dataclasses.astuple(route))
+        for address, route in new.route_by_address.items()
+        if known.get(address) != route
+    ]
+    removed = [
+        address for address in known if address not in new.route_by_address
+    ]
+    services = [
+        ServiceRecord(*dataclasses.astuple(service))
+        for service in new.service_by_name.values()
+    ]
+    if len(routes) + len(removed) + len(services) > MAX_ROUTES:
+        return None
+    return ConfigurationChange(
+        new.version, new.idle_s, routes, removed, services
+    )
+
+
+def _changed_configuration(
+    known: view_module.Configuration, change: ConfigurationChange
+) -> view_module.Configuration:
+    route_by_address = dict(known.route_by_address)
+    for address in change.removed_addresses:
+        route_by_address.pop(address, None)
+    for record in change.routes:
+        route = view_module.Route(**msgspec.structs.asdict(record))
+        route_by_address[(route.host, route.port)] = route
+    return view_module.Configuration(
+        version=change.version,
+        route_by_address=route_by_address,
+        service_by_name={
+            record.name: view_module.Service(**msgspec.structs.asdict(record))
+            for record in change.services
+        },
+        idle_s=change.idle_s,
+    )
+
+
 def between(
     old: view_module.View, new: view_module.View, now_s: float
-) -> collections.abc.Iterator[Delta]:
-    """Yield the deltas that lead from one view to a later one, in order.
+) -> list[Delta]:
+    """Return the deltas that lead from one view to a later one, in order.
 
-    Several are needed when many endpoints have changed. Removals come first:
-    a daemon that misses the rest continues from a revision of which it knows
-    every change. The configuration must be the same in both views.
+    Several are needed when much has changed. Removals and the configuration
+    come first: a daemon that misses the rest continues from a revision of
+    which it knows every change. The list is empty when the configuration has
+    changed too much for a frame.
     """
     changed = sorted(
         (
@@ -97,27 +176,30 @@
     removed = [
         id_ for id_ in old.endpoint_by_id if id_ not in new.endpoint_by_id
     ]
+    out = sorted(new.domains_out)
+    version = new.configuration.version
+    deltas: list[Delta] = []
     base = old.revision
-    first = 0
-    while True:
-        part = changed[first : first + ENDPOINTS_PER_FRAME]
-        first += ENDPOINTS_PER_FRAME
-        done = first >= len(changed)
-        revision = new.revision if done else part[-1].revision
-        # A registration may have been known to a peer at an older revision
-        # than the base, so the revision of a part never falls.
-        revision = max(base, revision)
-        yield Delta(
-            base,
-            revision,
-            new.configuration.version,
-            [_record(endpoint, now_s) for endpoint in part],
-            removed,
-            sorted(new.domains_out),
+    if old.configuration.version != version:
+        change = _configuration_change(old.configuration, new.configuration)
+        if change is None:
+            return []
+        deltas.append(
+            Delta(
+                base, base, old.configuration.version, [], removed, out, change
+            )
         )
-        if done:
-            return
+        removed = []
+    for first in range(0, max(1, len(changed)), ENDPOINTS_PER_FRAME):
+        part = changed[first : first + ENDPOINTS_PER_FRAME]
+        done = first + ENDPOINTS_PER_FRAME >= len(changed)
+        # A registration may be older than the base, when a peer told it
+        # late; the revision of a part never falls.
+        revision = new.revision if done else max(base, part[-1].revision)
+        records = [_record(endpoint, now_s) for endpoint in part]
+        deltas.append(Delta(base, revision, version, records, removed, out))
         base, removed = revision, []
+    return deltas
 
 
 def changes_for(
@@ -127,9 +209,14 @@
     known = view.configuration.version
     if delta.base != view.revision or delta.version != known:
         return None
+    change = delta.configuration
     return view_module.Changes(
         revision=delta.revision,
-        configuration=None,
+        configuration=(
+            _changed_configuration(view.configuration, change)
+            if change is not None
+            else None
+        ),
         endpoints=tuple(_endpoint(item, now_s) for item in delta.endpoints),
         removed_ids=tuple(delta.removed_ids),
         domains_out=tuple(set(delta.domains_out) - view.domains_out),
--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -7,6 +7,7 @@
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import view as view_module
 
 # A watch that waits longer finds a silent connection later; a shorter one
@@ -28,10 +29,34 @@
 # A gap of at least this length may have let registrations lapse.
 OUTAGE_S = 1.0
 
+REVISION = metrics.declare(
+    "view.revision", "gauge", "revision", "Revision of the view in force."
+)
+VERSION = metrics.declare(
+    "view.version", "gauge", "version", "Version of the configuration."
+)
+STORE_CALLS = metrics.declare(
+    "store.calls_answered", "counter", "calls", "Calls the store answered."
+)
+STORE_FAILURES = metrics.declare(
+    "store.calls_failed",
+    "counter",
+    "calls",
+    "Calls that the store refused or did not answer in time.",
+)
+LISTING_TIME = metrics.declare(
+    "store.listing_time",
+    "histogram",
+    "seconds",
+    "Time until the first listing of the store was complete.",
+)
+
 _log = logs.get("view")
 
 
-@kernel_module.service("view", roles=("stream_balancer", "stream_agent"))
+@kernel_module.service(
+    "view", roles=("stream_balancer", "stream_agent"), needs=("metrics",)
+)
 class ViewKeeper(kernel_module.Service):
     """Holds the newest view; its revision never falls.
 
@@ -42,6 +67,7 @@
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self.view = view_module.EMPTY
+        self._metrics = kernel.get("metrics")
         self._changed = anyio.Event()
         self._lapse_by_id: dict[str, float] = {}
         self._trust_removals_s = float("-inf")
@@ -171,6 +197,8 @@
             until_s = anyio.current_time() + lifetime_s
             self._former.append((until_s, known))
         self.view = newer
+        self._metrics.gauge(REVISION, newer.revision)
+        self._metrics.gauge(VERSION, newer.configuration.version)
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
 
@@ -223,7 +251,7 @@
 @kernel_module.service(
     "view_reader",
     roles=("stream_balancer", "stream_agent"),
-    needs=("view", "relay"),
+    needs=("view", "relay", "metrics"),
 )
 class ViewReader(kernel_module.Service):
     """Lists the store once, then watches it while no relay does."""
@@ -232,6 +260,7 @@
         super().__init__(kernel)
         self._keeper: ViewKeeper = kernel.get("view")
         self._relay = kernel.get("relay")
+        self._metrics = kernel.get("metrics")
         self._source: view_module.ViewSource = kernel.environment.platform
         self._random = kernel.environment.random
         self._listed = False
@@ -257,6 +286,7 @@
                     continue
                 except errors.PlatformUnavailable as error:
                     self.failing = True
+                    self._metrics.count(STORE_FAILURES)
                     if failed_s is None:
                         failed_s = asked_s
                         self._log_failure(error)
@@ -270,6 +300,7 @@
                         self._keeper.hold_removals()
                 retry_s, failed_s = FIRST_RETRY_S, None
                 self.failing = False
+                self._metrics.count(STORE_CALLS)
                 self._relay.confirmed()
                 changed = changes.revision > self._keeper.view.revision
                 self._keeper.apply(changes)
@@ -297,9 +328,11 @@
                     # Another daemon has told its view meanwhile.
                     hedge_s = MAX_RETRY_S
         self.failing = False
+        after_s = anyio.current_time() - started_s
+        self._metrics.observe(LISTING_TIME, after_s)
         _log.info(
             "store listed",
-            after_s=round(anyio.current_time() - started_s, 3),
+            after_s=round(after_s, 3),
             revision=self._keeper.view.revision,
         )
 
@@ -307,6 +340,7 @@
         try:
             changes = await self._source.read()
         except errors.PlatformUnavailable as error:
+            self._metrics.count(STORE_FAILURES)
             if not self.failing:
                 self.failing = True
                 self._log_failure(error)
--- a/src/bramleypin/platform/boot.py
+++ b/src/bramleypin/platform/boot.py
@@ -13,6 +13,8 @@
 DEFAULT_BOOT_FILE = "/etc/bramleypin/node.json"
 
 READINESS_PATH = "/bramleypin/readiness"
+# The deploy file names the same port; it takes none from the settings.
+METRICS_PORT = 9_102
 
 # The role of a process by what it serves.
 ROLE_BY_SERVED = {"front": "stream_balancer", "side": "stream_agent"}
@@ -109,6 +111,7 @@
         caller_port=ingress.port,
         readiness_path=READINESS_PATH,
         service=boot.service,
+        metrics_address=address.Address(ingress.host, METRICS_PORT),
         endpoint=_port_of(boot.app),
         outbound=_port_of(boot.listen.outbound),
         bounds=stream_settings.Bounds(
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -10,6 +10,7 @@
 import anyio
 import parameterized
 
+from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import relay
 from bramleypin.internal.stream import view
 from bramleypin.internal.stream import view_delta
@@ -257,6 +258,55 @@
         _, second, *_ = view_delta.between(old, new, 0.0)
         self.assertIsNone(view_delta.changes_for(old, second, 0.0))
 
+    def configurations(self, changed: int):
+        """Return two configurations that differ in some routes."""
+        first = [stream_fleet.route(port) for port in range(1, 61)]
+        second = [
+            *(
+                dataclasses.replace(route, timeout_s=9.0)
+                for route in first[:changed]
+            ),
+            *first[changed:-1],
+            stream_fleet.route(100),
+        ]
+        return (
+            stream_fleet.configuration(1, *first),
+            stream_fleet.configuration(4, *second, cold_per_s=3.0),
+        )
+
+    def test_a_configuration_is_told_by_its_changes(self):
+        """Guards against a call of each daemon for each configuration.
+
+        Pattern: configurations in quick succession.
+        """
+        old, new = self.views(2)
+        first, second = self.configurations(changed=3)
+        old = dataclasses.replace(old, configuration=first)
+        new = dataclasses.replace(new, configuration=second)
+        deltas = view_delta.between(old, new, 0.0)
+        encoded = [frames.encode(delta) for delta in deltas]
+        told, _ = frames.decode(encoded[0])
+        changes = view_delta.changes_for(old, told, 0.0)
+        self.assertEqual(second, changes.configuration)
+        self.assertEqual(old.revision, changes.revision)
+
+    def test_a_configuration_that_fits_no_frame_is_not_told(self):
+        """Guards against frames that are longer than a receiver takes."""
+        old, new = self.views(60)
+        first, second = self.configurations(changed=55)
+        old = dataclasses.replace(old, configuration=first)
+        new = dataclasses.replace(new, configuration=second)
+        self.assertEqual([], view_delta.between(old, new, 0.0))
+
+    def test_the_longest_delta_fits_a_frame(self):
+        """Guards against frames that are longer than a receiver takes."""
+        old, new = self.views(60)
+        first, second = self.configurations(changed=20)
+        old = dataclasses.replace(old, configuration=first)
+        new = dataclasses.replace(new, configuration=second)
+        for delta in view_delta.between(old, new, 0.0):
+            self.assertIsNotNone(frames.decode(frames.encode(delta)))
+
     def test_a_delta_of_another_configuration_does_not_hold(self):
         """Guards against a new revision with an old configuration."""
         old, new = self.views(2)
