--- a/src/bramleypin/cli.py
+++ b/src/bramleypin/cli.py
@@ -10,9 +10,11 @@
 from bramleypin.internal.tool import configuration_commands
 from bramleypin.internal.tool import domain_commands
 from bramleypin.internal.tool import fleet_commands
+from bramleypin.internal.tool import log_commands
 from bramleypin.internal.tool import output
 from bramleypin.internal.tool import questionnaire_commands
 from bramleypin.internal.tool import report_commands
+from bramleypin.internal.tool import settings_commands
 
 
 class _Group(typer.core.TyperGroup):
@@ -38,6 +40,8 @@
 application.add_typer(configuration_commands.application, name="configuration")
 application.add_typer(domain_commands.application, name="domain")
 application.add_typer(report_commands.application, name="report")
+application.add_typer(log_commands.application, name="logs")
+application.add_typer(settings_commands.application, name="settings")
 application.command()(fleet_commands.status)
 application.command()(fleet_commands.trace)
 
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -136,7 +136,7 @@
             )
         )
         if reason:
-            self._pass_on(message, packet.raw, reason)
+            self._pass_on(message, flow, packet.raw, reason)
             return
         self._take(message, packet, flow)
 
@@ -160,7 +160,11 @@
         self._ticker.wake()
 
     def _pass_on(
-        self, message: frames.Open, packet: bytes, reason: str
+        self,
+        message: frames.Open,
+        flow: segment.Flow,
+        packet: bytes,
+        reason: str,
     ) -> None:
         """Offer an opening to the next agent, or tell that none is left."""
         spares = [
@@ -175,6 +179,7 @@
         self._metrics.count(PASSED)
         _log.info(
             "opening passed on",
+            flow=str(flow),
             opening=message.opening,
             origin=message.origin_host,
             to=spares[0],
@@ -234,7 +239,9 @@
             )
         self.flows.forget(entry)
         if entry.offer is not None:
-            self._pass_on(entry.offer, entry.opening, "endpoint is silent")
+            self._pass_on(
+                entry.offer, entry.flow, entry.opening, "endpoint is silent"
+            )
 
     def _on_data(self, message: frames.Data, data: bytes, host: str) -> None:
         packet = self._codec.decode(data)
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -219,6 +219,7 @@
             _log.info(
                 "opening taken",
                 flow=str(opening.flow),
+                opening=message.opening,
                 host=host,
                 service=opening.service,
                 route=opening.route.name,
--- /dev/null
+++ b/src/bramleypin/internal/tool/log_commands.py
@@ -0,0 +1,203 @@
+"""The commands ``bramleypin logs``."""
+
+import html as html_module
+import pathlib
+import typing
+
+import typer
+
+from bramleypin import errors
+from bramleypin.internal.tool import fleet_options
+from bramleypin.internal.tool import log_lines
+from bramleypin.internal.tool import output
+from bramleypin.internal.tool import svg
+
+# Long enough that a busy fleet always writes something in between.
+SILENCE_S = 0.8
+# Context that is shown before and after a flow's first and last line.
+AROUND_S = 1.0
+
+application = typer.Typer(
+    no_args_is_help=True,
+    help="Explain a failure from the structured logs of the daemons.",
+)
+
+Files = typing.Annotated[
+    list[pathlib.Path],
+    typer.Argument(help="Files with the lines that daemons wrote."),
+]
+
+
+@application.callback()
+def _group() -> None:
+    """Explain a failure from the structured logs of the daemons."""
+
+
+@application.command()
+def flow(
+    identity: typing.Annotated[
+        str,
+        typer.Argument(
+            help="The flow, or a part of it: CALLER:PORT>SERVICE:PORT."
+        ),
+    ],
+    files: Files,
+    json: fleet_options.Json = False,
+    context: typing.Annotated[
+        bool,
+        typer.Option("--context", help="Show starts and views around it."),
+    ] = False,
+) -> None:
+    """Tell a flow's way in order, with the age of the views behind it.
+
+    Example: bramleypin logs flow 100.64.0.7:40001 daemons.log
+    """
+    lines = log_lines.read(files)
+    steps = log_lines.flow_steps(lines, identity)
+    if not steps:
+        raise errors.UnknownName("flow", identity, _some_flows(lines))
+    if json:
+        output.as_json(
+            [
+                {
+                    "time": step.line.time_s,
+                    "process": step.line.process,
+                    "part": step.line.part,
+                    "event": step.line.event,
+                    "view_age_s": step.view_age_s,
+                    **step.line.fields,
+                }
+                for step in steps
+            ]
+        )
+        return
+    first_s = steps[0].line.time_s
+    rows = [_row(step.line, first_s, step.view_age_s) for step in steps]
+    if context:
+        processes = {step.line.process for step in steps}
+        nearby = log_lines.around(
+            lines,
+            processes,
+            first_s - AROUND_S,
+            steps[-1].line.time_s + AROUND_S,
+        )
+        rows += [_row(line, first_s, None) for line in nearby]
+        rows.sort(key=lambda row: float(row[0]))
+    output.table(
+        ("after ms", "process", "part", "event", "view age s", "details"),
+        rows,
+    )
+
+
+def _row(
+    line: log_lines.Line, first_s: float, view_age_s: float | None
+) -> list[str]:
+    return [
+        f"{(line.time_s - first_s) * 1000:.1f}",
+        line.process,
+        line.part,
+        line.event,
+        "" if view_age_s is None else f"{view_age_s:.2f}",
+        line.details(),
+    ]
+
+
+def _some_flows(lines: list[log_lines.Line]) -> list[str]:
+    flows = dict.fromkeys(
+        str(line.fields["flow"]) for line in lines if "flow" in line.fields
+    )
+    return list(flows)[:5]
+
+
+@application.command()
+def summary(
+    files: Files,
+    json: fleet_options.Json = False,
+    interval_s: typing.Annotated[
+        float, typer.Option("--interval", min=0.1, help="Seconds a count.")
+    ] = 1.0,
+    html: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option("--html", help="Write tables and plots to this file."),
+    ] = None,
+) -> None:
+    """Count why openings and flows were lost, over time.
+
+    Example: bramleypin logs summary daemons.log --html losses.html
+    """
+    lines = log_lines.read(files)
+    counts_by_reason = log_lines.losses(lines, interval_s)
+    first_s = lines[0].time_s
+    silences = [
+        (start_s - first_s, end_s - first_s)
+        for start_s, end_s in log_lines.silences(lines, SILENCE_S)
+    ]
+    count = int((lines[-1].time_s - first_s) / interval_s) + 1
+    series_by_reason = {
+        reason: [counts.get(number, 0) for number in range(count)]
+        for reason, counts in sorted(
+            counts_by_reason.items(), key=lambda item: -item[1].total()
+        )
+    }
+    if html is not None:
+        _write(html, _page(series_by_reason, silences, interval_s))
+    if json:
+        output.as_json(
+            {
+                "interval_s": interval_s,
+                "first_time": first_s,
+                "counts_by_reason": series_by_reason,
+                "silences_s": silences,
+            }
+        )
+        return
+    output.table(
+        ("reason", "lines", "most in an interval", "at s"),
+        [
+            [
+                reason,
+                str(sum(series)),
+                str(max(series)),
+                f"{series.index(max(series)) * interval_s:g}",
+            ]
+            for reason, series in series_by_reason.items()
+        ],
+    )
+    for start_s, end_s in silences:
+        output.line(f"no process wrote from {start_s:.2f} s to {end_s:.2f} s")
+
+
+def _page(
+    series_by_reason: dict[str, list[int]],
+    silences: list[tuple[float, float]],
+    interval_s: float,
+) -> str:
+    plots = "".join(
+        f"<h2>{html_module.escape(reason)}</h2>"
+        f"<p>{sum(series)} lines, most in {interval_s:g} s: {max(series)}</p>"
+        f"{svg.spark([float(value) for value in series])}"
+        for reason, series in series_by_reason.items()
+    )
+    gaps = "".join(
+        f"<li>no process wrote from {start_s:.2f} s to {end_s:.2f} s</li>"
+        for start_s, end_s in silences
+    )
+    return (
+        '<!doctype html><html lang="en"><meta charset="utf-8">'
+        "<title>Lost openings and flows</title><style>"
+        "body{font:14px sans-serif;max-width:46rem;margin:2rem auto}"
+        ".spark{width:100%;height:4rem}"
+        ".curve{fill:none;stroke:#0b62a4;stroke-width:1.5}"
+        ".grid{stroke:#bbb}</style><h1>Lost openings and flows</h1>"
+        f"{plots or '<p>No line tells of a loss.</p>'}<ul>{gaps}</ul></html>"
+    )
+
+
+def _write(path: pathlib.Path, text: str) -> None:
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise errors.InvalidSettings(
+            "command line", "--html", str(path), f"{error.strerror}"
+        ) from error
+    output.note(f"{path}: report written")
--- /dev/null
+++ b/src/bramleypin/internal/tool/log_lines.py
@@ -0,0 +1,183 @@
+"""Reads structured log lines of several processes and finds one flow's way."""
+
+import collections
+import dataclasses
+import json
+import pathlib
+import typing
+
+from bramleypin import errors
+
+# Events that end an opening or a flow without an answer, by level of detail:
+# each is counted by its ``reason``, and as itself when it gives none.
+LOSS_EVENTS = (
+    "opening reset",
+    "flow reset",
+    "no agent holds the flow",
+    "the endpoint does not hold a flow",
+    "agent did not answer",
+    "an agent refused an opening",
+)
+_KNOWN_FIELDS = ("time", "level", "part", "event")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line: Unix time, the process that wrote it, and its fields."""
+
+    time_s: float
+    process: str
+    level: str
+    part: str
+    event: str
+    fields: dict[str, typing.Any]
+
+    def details(self) -> str:
+        """Return the fields as text."""
+        return " ".join(f"{key}={value}" for key, value in self.fields.items())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One step of a flow: its line, and how old the view behind it was.
+
+    ``view_age_s`` counts from the process's first line with that revision;
+    ``None`` when the line names no revision.
+    """
+
+    line: Line
+    view_age_s: float | None
+
+
+def read(files: list[pathlib.Path]) -> list[Line]:
+    """Return the lines of all files in the order of their times.
+
+    A line may have text before its JSON object, such as a time and the name
+    of the machine; the last word of it names the process. Otherwise the
+    file's name does. Lines without an object are passed over.
+
+    :raises errors.InvalidSettings: when a file cannot be read, or none has a
+        structured line.
+    """
+    lines: list[Line] = []
+    for file in files:
+        try:
+            text = file.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise errors.InvalidSettings(
+                "command line", "FILE", str(file), f"{error.strerror}"
+            ) from error
+        for raw in text.splitlines():
+            line = _parse(raw, file.stem)
+            if line is not None:
+                lines.append(line)
+    if not lines:
+        raise errors.InvalidSettings(
+            "command line",
+            "FILE",
+            ", ".join(map(str, files)),
+            "has no structured log line; give what a daemon wrote",
+        )
+    lines.sort(key=lambda line: line.time_s)
+    return lines
+
+
+def _parse(raw: str, process: str) -> Line | None:
+    start = raw.find('{"time":')
+    if start < 0:
+        return None
+    try:
+        found = json.loads(raw[start:])
+    except json.JSONDecodeError:
+        # The writer cuts what is longer than the pipe takes at once.
+        return None
+    words = raw[:start].split()
+    fields = {
+        key: value for key, value in found.items() if key not in _KNOWN_FIELDS
+    }
+    return Line(
+        float(found["time"]),
+        words[-1] if words else process,
+        str(found.get("level", "")),
+        str(found.get("part", "")),
+        str(found.get("event", "")),
+        fields,
+    )
+
+
+def flow_steps(lines: list[Line], text: str) -> list[Step]:
+    """Return what happened to the flows whose identity contains a text.
+
+    Lines that name only the number of an opening belong to a flow when a
+    line of that flow names the same number.
+    """
+    numbers = {
+        (line.fields["opening"], line.fields.get("origin", ""))
+        for line in lines
+        if text in str(line.fields.get("flow", ""))
+        and "opening" in line.fields
+    }
+    opening_numbers = {number for number, _ in numbers}
+    first_s: dict[tuple[str, object], float] = {}
+    steps: list[Step] = []
+    for line in lines:
+        revision = line.fields.get("revision")
+        age_s = None
+        if revision is not None:
+            key = (line.process, revision)
+            age_s = line.time_s - first_s.setdefault(key, line.time_s)
+        named = text in str(line.fields.get("flow", ""))
+        if named or line.fields.get("opening") in opening_numbers:
+            steps.append(Step(line, age_s))
+    return steps
+
+
+def around(
+    lines: list[Line], processes: set[str], start_s: float, end_s: float
+) -> list[Line]:
+    """Return what else some processes wrote, without lines about flows.
+
+    Starts, views, and lost or regained dependencies explain what happened to
+    a flow that no line names.
+    """
+    return [
+        line
+        for line in lines
+        if start_s <= line.time_s <= end_s
+        and line.process in processes
+        and "flow" not in line.fields
+        and "opening" not in line.fields
+    ]
+
+
+def silences(lines: list[Line], least_s: float) -> list[tuple[float, float]]:
+    """Return the times in which no process wrote anything.
+
+    All processes fall silent together when every machine has lost power.
+    """
+    found = []
+    for before, after in zip(lines, lines[1:]):
+        if after.time_s - before.time_s >= least_s:
+            found.append((before.time_s, after.time_s))
+    return found
+
+
+def losses(
+    lines: list[Line], interval_s: float
+) -> dict[str, collections.Counter]:
+    """Return how often each reason was logged, by number of the interval.
+
+    Intervals count from the first line. Lines that a process left out, as it
+    says itself, are not counted.
+    """
+    first_s = lines[0].time_s
+    found: dict[str, collections.Counter] = {}
+    for line in lines:
+        event = line.event.partition(" (")[0]
+        if event not in LOSS_EVENTS:
+            continue
+        reason = line.fields.get("reason")
+        name = f"{event}: {reason}" if reason else event
+        number = int((line.time_s - first_s) / interval_s)
+        found.setdefault(name, collections.Counter())[number] += 1
+    return found
--- /dev/null
+++ b/tests/cover/test_metrics_http.py
@@ -0,0 +1,129 @@
+"""The page of metrics, as a scraper reads it."""
+
+import pathlib
+import tomllib
+import unittest
+
+import anyio
+import parameterized
+from prometheus_client import parser
+
+from bramleypin.internal.net import http_server
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.observe import metrics_http
+from bramleypin.platform import boot
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+
+
+class _Settings:
+    metrics = None
+    metrics_address = None
+
+
+class _Kernel:
+    settings = _Settings()
+
+    def __init__(self):
+        self._metrics = metrics.Metrics(self)
+
+    def get(self, name):
+        return self._metrics
+
+
+def families(kernel: _Kernel):
+    """Return the samples of a scrape by name and labels."""
+    page = metrics_http.MetricsHttp(kernel)._page(b"/metrics")
+    text = page.body.decode()
+    return {
+        (sample.name, tuple(sample.labels.items())): sample.value
+        for family in parser.text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+class MetricsPageTest(unittest.TestCase):
+    def setUp(self):
+        """Declare one metric of each kind for this test alone."""
+        self._known = dict(metrics.METRICS.entry_by_name)
+        metrics.declare("test.count", "counter", "things", "Things.")
+        metrics.declare("test.level", "gauge", "things", "Things now.")
+        metrics.declare("test.wait", "histogram", "seconds", "A wait.")
+
+    def tearDown(self):
+        """Restore the declarations."""
+        metrics.METRICS.entry_by_name.clear()
+        metrics.METRICS.entry_by_name.update(self._known)
+
+    def test_a_scrape_shows_counters_gauges_and_histograms(self):
+        """Guards against a page that a scraper cannot read."""
+        kernel = _Kernel()
+        kernel.get("metrics").count("test.count", 3)
+        kernel.get("metrics").gauge("test.level", 7)
+        for seconds in (0.0005, 0.05, 0.05, 9.0):
+            kernel.get("metrics").observe("test.wait", seconds)
+        found = families(kernel)
+        name = "bramleypin_test_wait_seconds"
+        self.assertEqual(3, found["bramleypin_test_count_total", ()])
+        self.assertEqual(7, found["bramleypin_test_level", ()])
+        self.assertEqual(1, found[f"{name}_bucket", (("le", "0.001"),)])
+        self.assertEqual(3, found[f"{name}_bucket", (("le", "0.1"),)])
+        self.assertEqual(4, found[f"{name}_bucket", (("le", "+Inf"),)])
+        self.assertEqual(4, found[f"{name}_count", ()])
+        self.assertAlmostEqual(9.1005, found[f"{name}_sum", ()])
+
+    def test_a_counter_that_counted_nothing_is_shown_as_0(self):
+        """Guards against rates that miss the first increment."""
+        found = families(_Kernel())
+        self.assertEqual(0, found["bramleypin_test_count_total", ()])
+
+    def test_other_paths_are_not_found(self):
+        """Guards against metrics at paths that nobody documents."""
+        page = metrics_http.MetricsHttp(_Kernel())._page(b"/")
+        self.assertEqual(404, page.status)
+
+    def test_the_deploy_file_names_the_port_that_daemons_open(self):
+        """Guards against a metrics address at which nothing listens."""
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        for role in deploy["roles"].values():
+            port, _, path = role["metrics"].partition("/")
+            self.assertEqual(boot.METRICS_PORT, int(port))
+            self.assertEqual(metrics_http.PATH, b"/" + path.encode())
+
+
+class HttpServerTest(unittest.TestCase):
+    def exchange(self, sent: bytes, closes: bool = False) -> bytes:
+        """Return what a server sends back on a loopback connection."""
+
+        async def main():
+            server = http_server.HttpServer(
+                lambda path: http_server.Answer(200, path), "test"
+            )
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.listeners[0].extra(
+                anyio.abc.SocketAttribute.local_port
+            )
+            received = b""
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, server.serve)
+                stream = await anyio.connect_tcp("127.0.0.1", port)
+                async with stream:
+                    await stream.send(sent)
+                    if closes:
+                        await stream.send_eof()
+                    with anyio.move_on_after(5):
+                        while received.count(b"HTTP/1.1") < sent.count(
+                            b"GET"
+                        ) or not received.endswith(b"/x"):
+                            received += await stream.receive()
+                tasks.cancel_scope.cancel()
+            return received
+
+        return anyio.run(main)
+
+    @parameterized.parameterized.expand([("one", 1), ("two", 2)])
+    def test_each_request_of_a_connection_is_answered(self, _, count):
+        """Guards against a connection that ends after one request."""
+        answer = self.exchange(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n" * count)
+        self.assertEqual(count, answer.count(b"HTTP/1.1 200"))
+        self.assertTrue(answer.endswith(b"/x"))
--- /dev/null
+++ b/tests/cover/test_tool_logs.py
@@ -0,0 +1,170 @@
+"""The commands that explain a failure from structured logs."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import parameterized
+import typer.testing
+
+from bramleypin import cli
+from bramleypin.platform import check
+
+FLOW = "100.64.0.7:40001>198.18.0.1:443"
+OTHER = "100.64.0.8:40002>198.18.0.1:443"
+# A balancer and an agent, in the order in which they wrote.
+RECORDS = (
+    ("front-1", 0.0, "kernel", "starting", {"role": "stream_balancer"}),
+    ("front-1", 0.1, "view", "configuration in force", {"revision": 7}),
+    ("side-1", 0.15, "view", "configuration in force", {"revision": 6}),
+    (
+        "side-1",
+        1.0,
+        "agent",
+        "opening passed on",
+        {"opening": 5, "origin": "10.0.0.1", "reason": "draining"},
+    ),
+    (
+        "front-1",
+        1.002,
+        "openings",
+        "opening taken",
+        {"flow": FLOW, "opening": 5, "revision": 7, "waited_ms": 2.0},
+    ),
+    (
+        "front-1",
+        3.0,
+        "openings",
+        "opening reset",
+        {"flow": OTHER, "reason": "no endpoint in time", "revision": 7},
+    ),
+    (
+        "front-1",
+        3.1,
+        "openings",
+        "opening reset (3 more since the last line)",
+        {"flow": OTHER, "reason": "no endpoint in time", "revision": 7},
+    ),
+)
+
+
+def text_of(records) -> str:
+    """Return the lines as a collector of several machines writes them."""
+    return "\n".join(
+        f"  {at_s:.4f} {process} "
+        + json.dumps(
+            {
+                "time": 1000.0 + at_s,
+                "level": "INFO",
+                "part": part,
+                "event": event,
+                **fields,
+            }
+        )
+        for process, at_s, part, event, fields in records
+    )
+
+
+class LogsTest(unittest.TestCase):
+    def setUp(self):
+        """Write the lines to a file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.file = self.folder / "daemons.log"
+        text = text_of(RECORDS) + "\nnot a log line\n"
+        self.file.write_text(text + '{"time": 5, "event": "cut of')
+
+    def run_tool(self, *arguments):
+        """Run the tool; return its exit code and output."""
+        result = typer.testing.CliRunner().invoke(
+            cli.application, list(map(str, arguments))
+        )
+        return result.exit_code, result.output
+
+    def test_a_flow_is_told_in_order_with_the_age_of_its_view(self):
+        """Guards against a step of another process that is left out."""
+        code, text = self.run_tool("logs", "flow", FLOW, self.file, "--json")
+        self.assertEqual(0, code)
+        steps = json.loads(text)
+        self.assertEqual(
+            [("side-1", "draining"), ("front-1", None)],
+            [(step["process"], step.get("reason")) for step in steps],
+        )
+        self.assertAlmostEqual(0.902, steps[1]["view_age_s"], 3)
+
+    def test_context_shows_what_the_processes_learned_around_it(self):
+        """Guards against a cause that no line of the flow names."""
+        _, text = self.run_tool("logs", "flow", FLOW, self.file, "--context")
+        self.assertIn("configuration in force", text)
+
+    def test_an_unknown_flow_names_some_that_are_there(self):
+        """Guards against an empty answer to a mistyped flow."""
+        code, text = self.run_tool("logs", "flow", "1.2.3.4:5", self.file)
+        self.assertEqual(1, code)
+        self.assertIn(FLOW, text)
+
+    def test_the_summary_counts_losses_over_time(self):
+        """Guards against losses that are counted in the wrong second."""
+        code, text = self.run_tool("logs", "summary", self.file, "--json")
+        self.assertEqual(0, code)
+        found = json.loads(text)
+        self.assertEqual(
+            {"opening reset: no endpoint in time": [0, 0, 0, 2]},
+            found["counts_by_reason"],
+        )
+        self.assertEqual(2, len(found["silences_s"]))
+
+    def test_the_page_of_the_summary_stands_alone(self):
+        """Guards against a page that needs files of this machine."""
+        page = self.folder / "losses.html"
+        code, _ = self.run_tool("logs", "summary", self.file, "--html", page)
+        self.assertEqual(0, code)
+        text = page.read_text()
+        self.assertIn("no endpoint in time", text)
+        self.assertNotIn("src=", text)
+
+    @parameterized.parameterized.expand([("missing.log",), ("empty.log",)])
+    def test_files_without_lines_are_an_error(self, name):
+        """Guards against a summary of nothing that looks like no loss."""
+        (self.folder / "empty.log").write_text("nothing\n")
+        code, text = self.run_tool("logs", "summary", self.folder / name)
+        self.assertEqual(2, code)
+        self.assertIn(name, text)
+
+
+class SettingsCheckTest(unittest.TestCase):
+    def test_valid_settings_are_shown(self):
+        """Guards against a check that differs from the daemon's own."""
+        example = (
+            pathlib.Path(__file__).resolve().parents[2]
+            / "examples/lone-star/entry-1.toml"
+        )
+        result = typer.testing.CliRunner().invoke(
+            cli.application, ["settings", "check", str(example)]
+        )
+        self.assertEqual(0, result.exit_code, result.output)
+        self.assertIn("valid", result.output)
+
+    def test_an_unknown_key_is_named(self):
+        """Guards against a mistyped key that is passed over."""
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "entry.toml"
+            file.write_text('rolle = "balancer"\n')
+            result = typer.testing.CliRunner().invoke(
+                cli.application, ["settings", "check", str(file)]
+            )
+        self.assertEqual(2, result.exit_code)
+        self.assertIn("rolle", result.output)
+
+    @parameterized.parameterized.expand(
+        [("missing key", '{"node": "n"}'), ("no JSON", "{")]
+    )
+    def test_a_bad_file_of_the_platform_is_refused(self, _, text):
+        """Guards against a check that accepts what a daemon refuses."""
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "node.json"
+            file.write_text(text)
+            self.assertEqual(2, check.main([str(file)]))
+            self.assertEqual(2, check.main([f"{folder}/none.json"]))
