Fetch registrations at once just after a start or an outage

Within 2 s of a first listing or an outage the pause is 50 ms.

The test of grouped changes ran within those 2 s; it now begins after them, with the same bound.

--- a/src/bramleypin/internal/stream/view_keeper.py
+++ b/src/bramleypin/internal/stream/view_keeper.py
@@ -18,6 +18,8 @@
 # arrived, the next watch starts this much later and fetches the rest of the
 # group in one call. It is a tenth of the tightest bound, 3 s for a change.
 GROUP_S = 0.3
+# Just after a start or an outage callers wait for each registration.
+URGENT_GROUP_S = 0.05
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.8
 # Callers wait while a daemon has no view at all, so the next listing starts
@@ -219,6 +221,11 @@
         grace_s = self.kernel.settings.bounds.lapsed_entry_s
         self._trust_listing_s = anyio.current_time() + grace_s
 
+    def doubts_registrations(self) -> bool:
+        """Tell whether living endpoints may be missing from the view."""
+        now_s = anyio.current_time()
+        return now_s < max(self._trust_removals_s, self._trust_listing_s)
+
     def settled(self, service: str) -> bool:
         """Tell whether a service's missing endpoints are known to be gone.
 
@@ -306,7 +313,8 @@
                 self._keeper.apply(changes)
                 self._listed = True
                 if changed:
-                    await anyio.sleep(GROUP_S)
+                    doubted = self._keeper.doubts_registrations()
+                    await anyio.sleep(URGENT_GROUP_S if doubted else GROUP_S)
 
     def _log_failure(self, error: errors.PlatformUnavailable) -> None:
         _log.warning(
--- a/tests/failures/test_stream_flows.py
+++ b/tests/failures/test_stream_flows.py
@@ -314,6 +314,8 @@
 
         async def scenario(fleet):
             await build(fleet)
+            # Within 2 s of a start each registration is fetched at once.
+            await anyio.sleep(2.0)
             before = fleet.store.calls
             for number in range(20):
                 changed = fleet.registration("e1", cold_s=2.0 - number / 10)
@@ -406,6 +408,28 @@
 
         self.assertEqual({"answered"}, kinds(play(scenario)))
 
+    def test_registrations_after_a_start_are_not_fetched_in_groups(self):
+        """Guards against callers that wait for a group to be complete.
+
+        Pattern: all daemons restart, and the endpoints register one by one.
+        """
+
+        async def scenario(fleet):
+            await build(fleet, balancers=0)
+            lapsed = list(fleet.store.endpoint_by_id)
+            for id_ in lapsed:
+                fleet.store.remove(id_)
+            fleet.add_balancer("b0", "10.0.0.1", "a")
+            await anyio.sleep(0.5)
+            for id_ in lapsed:
+                fleet.store.put(fleet.registration(id_))
+                await anyio.sleep(0.1)
+            view = fleet.balancer_by_name["b0"].kernel.get("view").view
+            return len(lapsed), len(view.endpoint_by_id)
+
+        registered, known = play(scenario)
+        self.assertEqual(registered, known)
+
     def test_a_silent_store_is_asked_again_before_it_times_out(self):
         """Guards against a listing that waits for an answer never sent.
 
