Add a fault soak: the real programs on loopback, faults from outside

Balancers and agents run as processes on loopback addresses of their own. A seed sets series of faults that overlap: signals (kill, stop, pause, hangup), a store that is silent, late, refuses or answers no more, lost history, and planned work: an endpoint drains, a route is dropped, a domain is taken out and back. Checked from what callers and endpoints see: right service, no request run twice or unasked, own answers, no reset of an open flow, no new flow for a draining endpoint, a domain that is out or a dropped route, and every request answered once all is calm.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo bench matrix lint format clean
+.PHONY: setup test demo bench matrix soak lint format clean
 
 setup: $(STAMP)
 
@@ -24,6 +24,9 @@
 matrix: setup
 	$(BIN)/bramleypin-matrix $(or $(ARGS),--all --variants)
 
+soak: setup
+	$(BIN)/python -m tests.soak $(ARGS)
+
 lint: setup
 	$(BIN)/black --quiet --check --diff src tests
 	$(BIN)/flake8 src tests
--- a/src/bramleypin/internal/net/http_server.py
+++ b/src/bramleypin/internal/net/http_server.py
@@ -1,6 +1,8 @@
 """A small HTTP/1.1 server for pages without a request body."""
 
+import collections.abc
 import dataclasses
+import inspect
 import typing
 
 import anyio
@@ -24,13 +26,17 @@
     content_type: str = "text/plain; charset=utf-8"
 
 
+Page = typing.Callable[[bytes], Answer | collections.abc.Awaitable[Answer]]
+
+
 class HttpServer:
     """Answers each request with what ``page(path)`` returns.
 
-    Failures of a connection end only that connection.
+    The page may be awaitable. Failures of a connection end only that
+    connection.
     """
 
-    def __init__(self, page: typing.Callable[[bytes], Answer], log_part: str):
+    def __init__(self, page: Page, log_part: str):
         self._page = page
         self._log = logs.get(log_part)
 
@@ -67,6 +73,8 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return False
         answer = self._page(path)
+        if inspect.isawaitable(answer):
+            answer = await answer
         headers = [("Content-Length", str(len(answer.body)))]
         if answer.body:
             headers.append(("Content-Type", answer.content_type))
--- /dev/null
+++ b/tests/soak/ends.py
@@ -0,0 +1,278 @@
+"""Callers and endpoints of the soak, which speak the platform's packets."""
+
+import dataclasses
+import random
+import struct
+
+import anyio
+
+from bramleypin.internal import address as address_module
+from bramleypin.internal.net import datagram
+from bramleypin.internal.stream import segment
+from bramleypin.platform import packet as packet_module
+
+_HEADER = struct.Struct("<IHIIHHB3xIII")
+MASK = 0xFFFFFFFF
+# When a caller sends copies of its opening, and when it gives it up.
+COPIES_S = (0.0, 0.2, 0.6)
+OPENING_LIMIT_S = 1.4
+RESEND_S = 0.2
+CODEC = packet_module.PacketCodec()
+
+
+def encode(
+    source: tuple[int, int],
+    destination: tuple[int, int],
+    flags: int,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    data: bytes = b"",
+) -> bytes:
+    """Return a packet; its checksum marks that an end wrote it."""
+    return (
+        _HEADER.pack(
+            1,
+            len(data),
+            destination[0],
+            source[0],
+            source[1],
+            destination[1],
+            flags,
+            sequence & MASK,
+            acknowledged & MASK,
+            0,
+        )
+        + data
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that an endpoint ran."""
+
+    request: str
+    endpoint: str
+    service: str
+    at_s: float
+
+
+class Endpoint:
+    """Answers requests of a service, several in one flow.
+
+    ``openings`` are the times at which it accepted a flow.
+    """
+
+    def __init__(self, name, service, app, outbound, runs, work_s=0.03):
+        self.name = name
+        self.service = service
+        self.app = app
+        self.outbound = outbound
+        self.work_s = work_s
+        self.runs: list[Run] = runs
+        self.openings: list[tuple[float, tuple[int, int]]] = []
+        self.alive = True
+        self.flows: dict[segment.Flow, list] = {}
+
+    async def serve(self) -> None:
+        """Serve until cancelled."""
+        self._socket = await datagram.open_port(
+            address_module.Address(*self.app)
+        )
+        async with anyio.create_task_group() as tasks:
+            while True:
+                data, _ = await self._socket.receive()
+                found = CODEC.decode(data)
+                if found is not None:
+                    self._take(found, tasks)
+
+    def _take(self, found: segment.Segment, tasks) -> None:
+        flow = found.flow_from_caller()
+        state = self.flows.get(flow)
+        if found.opening:
+            if state is None:
+                # Sequence of the endpoint, position of the caller.
+                state = [random.getrandbits(32), None]
+                self.flows[flow] = state
+                now_s = anyio.current_time()
+                self.openings.append((now_s, found.destination))
+            flags = packet_module.SYN | packet_module.ACK
+            self._send(flow, flags, state[0], found.sequence + 1)
+            return
+        if state is None or not found.ack:
+            raw = bytearray(found.raw)
+            raw[packet_module.FLAGS_OFFSET] |= packet_module.BOUNCED
+            self._socket.send(bytes(raw), self.outbound)
+            return
+        if found.fin or found.rst:
+            if found.fin:
+                flags = packet_module.ACK
+                self._send(flow, flags, state[0], found.sequence + 1)
+            return
+        if found.data_bytes and found.sequence != state[1]:
+            state[1] = found.sequence
+            tasks.start_soon(self._work, flow, found)
+        elif found.data_bytes:
+            # The answer was lost, or is not ready yet.
+            if len(state) > 2 and state[2][0] == found.sequence:
+                self._send(flow, *state[2][1:])
+
+    async def _work(self, flow, found: segment.Segment) -> None:
+        request = found.raw[packet_module.HEADER_BYTES :].decode()
+        now_s = anyio.current_time()
+        self.runs.append(Run(request, self.name, self.service, now_s))
+        await anyio.sleep(self.work_s)
+        state = self.flows.get(flow)
+        if state is None:
+            return
+        body = f"{request} by {self.service}".encode()
+        at = found.acknowledged
+        answer = (
+            packet_module.ACK,
+            at,
+            found.sequence + found.data_bytes,
+            body,
+        )
+        state[2:] = [(found.sequence, *answer)]
+        self._send(flow, *answer)
+
+    def _send(self, flow, flags, sequence, acknowledged, data=b""):
+        raw = encode(
+            (flow.service_host, flow.service_port),
+            (flow.caller_host, flow.caller_port),
+            flags,
+            sequence,
+            acknowledged,
+            data,
+        )
+        self._socket.send(raw, self.outbound)
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """How one attempt ended.
+
+    ``kind`` is ``answered``, ``reset`` (before or after the flow opened, as
+    ``opened`` says) or ``silence``; ``body`` is the answer.
+    """
+
+    request: str
+    address: tuple[int, int]
+    sent_s: float
+    ended_s: float = 0.0
+    kind: str = "silence"
+    opened: bool = False
+    body: str = ""
+
+
+class Caller:
+    """Opens flows through the balancers in rotation."""
+
+    def __init__(self, host: str, port: int, balancers, rng: random.Random):
+        self._host = host
+        self._port = port
+        self._balancers = balancers
+        self._rng = rng
+        self._next_port = 1_024
+        self._number = 0
+        self._streams: dict[int, object] = {}
+        self.outcomes: list[Outcome] = []
+
+    async def serve(self) -> None:
+        """Receive until cancelled."""
+        at = address_module.Address(self._host, self._port)
+        self._socket = await datagram.open_port(at)
+        while True:
+            data, _ = await self._socket.receive()
+            found = CODEC.decode(data)
+            stream = found and self._streams.get(found.destination[1])
+            if stream is not None:
+                stream.send_nowait(found)
+
+    async def flow(
+        self, address: tuple[int, int], requests: int, pause_s: float
+    ) -> None:
+        """Open a flow and send requests in it, with pauses between them."""
+        self._next_port += 1
+        port = self._next_port
+        sender, receiver = anyio.create_memory_object_stream(1_000)
+        self._streams[port] = sender
+        source = (segment.host_number(self._host), port)
+        try:
+            await self._use(source, address, requests, pause_s, receiver)
+        finally:
+            del self._streams[port]
+
+    async def _use(self, source, address, requests, pause_s, inbox) -> None:
+        outcome = self._begin(address)
+        found = None
+        for count, at_s in enumerate(COPIES_S):
+            self._send(source, address, packet_module.SYN, 0, count)
+            until_s = (*COPIES_S[1:], OPENING_LIMIT_S)[count] - at_s
+            found = await self._next(inbox, until_s)
+            if found is not None:
+                break
+        if found is None or found.rst:
+            self._end(outcome, "reset" if found is not None else "silence")
+            return
+        outcome.opened = True
+        sequence, acknowledged = 1, found.sequence + 1
+        for number in range(requests):
+            if number:
+                await anyio.sleep(pause_s)
+                outcome = self._begin(address)
+                outcome.opened = True
+            data = outcome.request.encode()
+            answer = await self._ask(
+                source, address, sequence, acknowledged, data, inbox
+            )
+            if answer is None or answer.rst:
+                self._end(
+                    outcome, "reset" if answer is not None else "silence"
+                )
+                return
+            body = answer.raw[packet_module.HEADER_BYTES :]
+            outcome.body = body.decode()
+            self._end(outcome, "answered")
+            sequence += len(data)
+            acknowledged += len(body)
+        flags = packet_module.FIN | packet_module.ACK
+        self._send(source, address, flags, sequence, acknowledged)
+
+    async def _ask(self, source, address, sequence, acknowledged, data, inbox):
+        wait_s = RESEND_S
+        for _ in range(5):
+            flags = packet_module.ACK
+            self._send(source, address, flags, sequence, acknowledged, data)
+            end_s = anyio.current_time() + wait_s
+            while (left_s := end_s - anyio.current_time()) > 0:
+                found = await self._next(inbox, left_s)
+                if found is None:
+                    break
+                if found.rst or found.acknowledged == sequence + len(data):
+                    return found
+            wait_s = min(1.6, 2 * wait_s)
+        return None
+
+    async def _next(self, inbox, wait_s):
+        with anyio.move_on_after(wait_s):
+            return await inbox.receive()
+        return None
+
+    def _begin(self, address) -> Outcome:
+        self._number += 1
+        request = f"{self._host}-{self._number}"
+        outcome = Outcome(request, address, anyio.current_time())
+        self.outcomes.append(outcome)
+        return outcome
+
+    @staticmethod
+    def _end(outcome: Outcome, kind: str) -> None:
+        outcome.kind = kind
+        outcome.ended_s = anyio.current_time()
+
+    def _send(self, source, address, flags, sequence, ack, data=b""):
+        balancers = self._balancers()
+        if balancers:
+            chosen = balancers[hash((source, address)) % len(balancers)]
+            raw = encode(source, address, flags, sequence, ack, data)
+            self._socket.send(raw, (chosen, self._port))
--- /dev/null
+++ b/tests/soak/machines.py
@@ -0,0 +1,139 @@
+"""The daemons of a soak: processes with loopback addresses of their own."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import anyio
+
+from bramleypin.platform import boot
+from tests.soak import store as store_module
+
+INGRESS_PORT = 7_601
+READY_PORT = 7_602
+CONTROL_PORT = 7_603
+PEER_PORT = 7_604
+OUTBOUND_PORT = 7_605
+APP_PORT = 7_606
+STORE_PORT = 7_607
+# The platform's bounds, smaller than a deployment's, so that runs are short.
+GRACE_S = 3.0
+DRAIN_S = 3.0
+CONFIGURATION_S = 3.0
+OUT_S = 5.0
+# A machine is judged when nothing has happened to it for this long.
+CALM_S = 4.0
+# The fabric asks twice a second and takes a daemon out after two misses.
+ASK_S = 0.5
+MISSES = 2
+
+
+class Machine:
+    """A daemon, its settings file, its way to the store and its log."""
+
+    def __init__(self, folder: pathlib.Path, net: str, number: int, **more):
+        self.host = f"{net}.{number}"
+        self.name = f"m{number}"
+        self.domain = more["zone"]
+        self.proxy = store_module.Proxy(more.pop("store"))
+        self.process: subprocess.Popen | None = None
+        self.missed = MISSES
+        # Since when nothing has happened to it; "inf" while something does.
+        self.calm_since_s = float("inf")
+        self._log = folder / f"{self.name}.log"
+        self._boot = folder / f"{self.name}.json"
+        self._store_host = f"{net}.{number + 100}"
+        settings = {
+            "node": self.name,
+            "ip": self.host,
+            "listen": {
+                "datagram_addr": f"{self.host}:{INGRESS_PORT}",
+                "ready_addr": f"{self.host}:{READY_PORT}",
+                "control": f"{self.host}:{CONTROL_PORT}",
+                "outbound": f"{self.host}:{OUTBOUND_PORT}",
+            },
+            "app": f"{self.host}:{APP_PORT}" if "service" in more else "",
+            "internal_ports": [PEER_PORT, PEER_PORT + 8],
+            "seeds": [f"{net}.1:{CONTROL_PORT}", f"{net}.2:{CONTROL_PORT}"],
+            "platform": {"address": f"{self._store_host}:{STORE_PORT}"},
+            "bounds": {
+                "grace_s": GRACE_S,
+                "flow_max_s": 60,
+                "drain_ms": DRAIN_S * 1000,
+                "config_apply_ms": CONFIGURATION_S * 1000,
+                "evacuate_ms": OUT_S * 1000,
+            },
+            **more,
+        }
+        self._boot.write_text(json.dumps(settings))
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "bramleypin.platform"],
+                env={
+                    "PATH": os.environ["PATH"],
+                    boot.BOOT_VARIABLE: str(self._boot),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.running:
+            self.process.send_signal(number)
+
+    def touch(self, calm: bool) -> None:
+        """Note that a fault begins, or that it has ended."""
+        now_s = anyio.current_time()
+        self.calm_since_s = now_s if calm else float("inf")
+
+    async def serve_store(self) -> None:
+        """Carry the daemon's connections to the store until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._store_host, local_port=STORE_PORT
+        )
+        async with listener:
+            await listener.serve(self.proxy.serve)
+
+    async def end(self) -> None:
+        """End the process: politely, then for good after the grace time."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        with anyio.move_on_after(GRACE_S):
+            while self.running:
+                await anyio.sleep(0.02)
+        if self.running:
+            self.process.kill()
+        await anyio.to_thread.run_sync(self.process.wait)
+
+    async def ask_readiness(self) -> None:
+        """Ask twice a second whether the daemon takes part."""
+        while True:
+            ready = False
+            with anyio.move_on_after(ASK_S):
+                ready = await self._ready()
+            self.missed = 0 if ready else self.missed + 1
+            await anyio.sleep(ASK_S)
+
+    async def _ready(self) -> bool:
+        try:
+            stream = await anyio.connect_tcp(self.host, READY_PORT)
+            async with stream:
+                request = (
+                    f"GET {boot.READINESS_PATH} HTTP/1.1\r\nHost: h\r\n\r\n"
+                )
+                await stream.send(request.encode())
+                return b" 200 " in await stream.receive()
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            return False
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,159 @@
+"""A stand-in for the platform's store, and a faulty way to it."""
+
+import base64
+import contextlib
+import json
+import urllib.parse
+
+import anyio
+import anyio.abc
+
+from bramleypin.internal.net import http_server
+
+# How long the store needs for an answer; the deployments say 4 ms.
+ANSWER_S = 0.004
+# The history that a watch can go back to, in changes.
+HISTORY = 200
+
+
+class Store:
+    """Holds items with revisions, and answers listings and watches."""
+
+    def __init__(self):
+        self.revision = 1
+        self._item_by_key: dict[str, dict] = {}
+        self._events: list[dict] = []
+        self._changed = anyio.Event()
+        self.server = http_server.HttpServer(self._page, "soak-store")
+
+    def put(self, key: str, value: object) -> None:
+        """Write an item; what is written is acknowledged at once."""
+        self.revision += 1
+        known = self._item_by_key.get(key)
+        data = json.dumps(value).encode()
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created": known["created"] if known else self.revision,
+            "lease": 0,
+        }
+        self._item_by_key[key] = item
+        self._publish(item)
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self._item_by_key[key]
+        event = {"key": key, "revision": self.revision, "tombstone": True}
+        self._publish(event)
+
+    def forget_history(self) -> None:
+        """Discard the changes so far."""
+        self._events.clear()
+
+    def _publish(self, event: dict) -> None:
+        self._events = [*self._events[-HISTORY:], event]
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    async def _page(self, target: bytes) -> http_server.Answer:
+        await anyio.sleep(ANSWER_S)
+        path, _, text = target.decode("ascii").partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        if path.endswith("/kv-range"):
+            items = list(self._item_by_key.values())
+            return self._answer(items=items, has_more=False)
+        if not path.endswith("/kv-watch"):
+            return http_server.Answer(404)
+        after = int(query["after"])
+        with anyio.move_on_after(int(query["wait_ms"]) / 1000):
+            while self.revision <= after:
+                await self._changed.wait()
+        first = self._events[0]["revision"] if self._events else None
+        known = self.revision <= after or (first or 0) <= after + 1
+        if not known or (first is None and self.revision > after):
+            return http_server.Answer(410)
+        events = [item for item in self._events if item["revision"] > after]
+        return self._answer(events=events)
+
+    def _answer(self, **fields: object) -> http_server.Answer:
+        body = json.dumps({"as_of": self.revision, **fields})
+        return http_server.Answer(200, body.encode(), "application/json")
+
+
+class Proxy:
+    """One daemon's way to the store.
+
+    ``mode`` is ``pass``, ``delay``, ``silent`` (nothing gets through),
+    ``one_way`` (no answer gets back) or ``refuse`` (connections are closed).
+    """
+
+    DELAY_S = 0.25
+
+    def __init__(self, store: Store):
+        self.mode = "pass"
+        self._store = store
+
+    async def serve(self, client: anyio.abc.SocketStream) -> None:
+        """Carry one connection of the daemon."""
+        if self.mode == "refuse":
+            await client.aclose()
+            return
+        ours, theirs = await _pair()
+        async with client, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._store.server.serve, theirs)
+            tasks.start_soon(self._pump, client, ours, True, tasks)
+            tasks.start_soon(self._pump, ours, client, False, tasks)
+
+    async def _pump(self, source, target, to_store: bool, tasks) -> None:
+        with contextlib.suppress(
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            while True:
+                data = await source.receive()
+                mode = self.mode
+                if mode == "refuse":
+                    break
+                if mode == "silent" or (mode == "one_way" and not to_store):
+                    continue
+                if mode == "delay":
+                    await anyio.sleep(self.DELAY_S)
+                await target.send(data)
+        tasks.cancel_scope.cancel()
+
+
+async def _pair():
+    """Return the two ends of a byte stream inside this process."""
+    to_store, from_daemon = anyio.create_memory_object_stream(100)
+    to_daemon, from_store = anyio.create_memory_object_stream(100)
+    return _End(to_store, from_store), _End(to_daemon, from_daemon)
+
+
+class _End:
+    """One end of a byte stream."""
+
+    def __init__(self, sender, receiver):
+        self._sender = sender
+        self._receiver = receiver
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes to the other end."""
+        await self._sender.send(bytes(data))
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        """Return bytes from the other end, however many come at once."""
+        return await self._receiver.receive()
+
+    async def aclose(self) -> None:
+        """Close both directions."""
+        self._sender.close()
+        self._receiver.close()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        await self.aclose()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,342 @@
+"""One run of the soak: a deployment, a schedule of faults, and the checks."""
+
+import collections
+import dataclasses
+import pathlib
+import random
+import signal
+
+import anyio
+
+from bramleypin.internal.stream import segment
+from tests.soak import ends
+from tests.soak import machines
+from tests.soak import store as store_module
+
+DOMAINS = ("a", "b", "c")
+BALANCERS = 3
+ENDPOINTS = 5
+FAULTS_S = 9.0
+SETTLE_S = 2.5
+RECOVERY_S = 6.0
+REQUESTS_PER_S = 40.0
+SERVICE_HOST = segment.host_number("198.18.0.1")
+ADDRESS_BY_SERVICE = {
+    "desk": (SERVICE_HOST, 443),
+    "archive": (SERVICE_HOST, 8443),
+}
+# A route that a change of the configuration drops.
+DROPPED = (SERVICE_HOST, 9000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """What happens to a machine, or to all when ``machine`` is None."""
+
+    at_s: float
+    kind: str
+    machine: int
+    for_s: float
+
+
+STORE_MODES = ("delay", "silent", "one_way", "refuse")
+KINDS = (
+    *(f"store {mode}" for mode in STORE_MODES),
+    "kill",
+    "stop",
+    "pause",
+    "hangup",
+    "kill all balancers",
+    "forget history",
+)
+
+
+def schedule(rng: random.Random) -> list[Fault]:
+    """Return faults that come in series and overlap."""
+    found = []
+    for _ in range(rng.randint(3, 7)):
+        at_s = rng.uniform(0.0, FAULTS_S - 2.0)
+        machine = rng.randrange(BALANCERS + ENDPOINTS)
+        for _ in range(rng.choice((1, 1, 2, 3))):
+            kind = rng.choice(KINDS)
+            found.append(Fault(at_s, kind, machine, rng.uniform(0.2, 2.0)))
+            at_s += rng.uniform(0.05, 1.0)
+    return sorted(found, key=lambda fault: fault.at_s)
+
+
+class World:
+    """A deployment on loopback addresses under ``net`` (three numbers)."""
+
+    def __init__(self, folder: pathlib.Path, net: str, seed: int):
+        self.rng = random.Random(seed)
+        self.faults = schedule(self.rng)
+        self.store = store_module.Store()
+        self.runs: list[ends.Run] = []
+        self.violations: list[str] = []
+        self.acks: dict[str, float] = {}
+        self.quiet_since_s = 0.0
+        self._net = net
+        self._version = 1
+        self.machines: list[machines.Machine] = []
+        self.endpoints: list[ends.Endpoint] = []
+        for number in range(BALANCERS + ENDPOINTS):
+            more = {"zone": DOMAINS[number % 3], "store": self.store}
+            if number < BALANCERS:
+                more["serves"] = ["front", "control"]
+            else:
+                more["serves"] = ["side"]
+                # In two domains, of which one is taken out of service.
+                more["service"] = "archive" if number in (5, 6) else "desk"
+            machine = machines.Machine(folder, net, number + 1, **more)
+            self.machines.append(machine)
+            if number >= BALANCERS:
+                self.endpoints.append(
+                    ends.Endpoint(
+                        f"e{number}",
+                        more["service"],
+                        (machine.host, machines.APP_PORT),
+                        (machine.host, machines.OUTBOUND_PORT),
+                        self.runs,
+                    )
+                )
+        self.caller = ends.Caller(
+            f"{net}.90", machines.INGRESS_PORT, self.in_rotation, self.rng
+        )
+
+    def in_rotation(self) -> list[str]:
+        """Return the hosts that the fabric sends packets to."""
+        fronts = self.machines[:BALANCERS]
+        ready = [m.host for m in fronts if m.missed < machines.MISSES]
+        return ready or [m.host for m in fronts]
+
+    def register(self, endpoint: ends.Endpoint, state: str = "ready") -> None:
+        """Write an endpoint's entry."""
+        machine = self.machine_of(endpoint)
+        entry = {
+            "service": endpoint.service,
+            "address": f"{machine.host}:{machines.APP_PORT}",
+            "zone": machine.domain,
+            "version": "1",
+            "slots": 5,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "born": 1_700_000_000_000,
+            "seq": 1,
+        }
+        self.store.put(f"servers/{endpoint.name}", entry)
+
+    def machine_of(self, endpoint: ends.Endpoint) -> machines.Machine:
+        """Return the machine beside an endpoint."""
+        number = self.endpoints.index(endpoint)
+        return self.machines[BALANCERS + number]
+
+    def configure(self, drop: bool) -> None:
+        """Write the configuration, with or without the dropped route."""
+        addresses = dict(ADDRESS_BY_SERVICE)
+        if not drop:
+            addresses["dropped"] = DROPPED
+        self._version += 3
+        routes = [
+            {
+                "name": name,
+                "hostname": segment.host_text(host),
+                "prefix": f"/{port}/",
+                "service": "desk" if name == "dropped" else name,
+                "type": "unsafe",
+                "timeout_ms": 2000,
+                "target_latency_ms": 250,
+                "priority": 1,
+            }
+            for name, (host, port) in addresses.items()
+        ]
+        services = [{"name": name} for name in ADDRESS_BY_SERVICE]
+        self.store.put(
+            "op/config",
+            {
+                "version": self._version,
+                "routes": routes,
+                "services": services,
+                "limits": {"idle_timeout_ms": 15000},
+            },
+        )
+        if drop:
+            self.acks["dropped"] = anyio.current_time()
+
+    async def play(self) -> list[str]:
+        """Run the deployment through its faults; return what was violated."""
+        self.configure(drop=False)
+        for endpoint in self.endpoints:
+            self.register(endpoint)
+        async with anyio.create_task_group() as tasks:
+            for endpoint in self.endpoints:
+                tasks.start_soon(endpoint.serve)
+            tasks.start_soon(self.caller.serve)
+            for machine in self.machines:
+                tasks.start_soon(machine.serve_store)
+                tasks.start_soon(machine.ask_readiness)
+                machine.start()
+            try:
+                await anyio.sleep(SETTLE_S)
+                for machine in self.machines:
+                    machine.touch(calm=True)
+                await self._under_load()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    async with anyio.create_task_group() as ending:
+                        for machine in self.machines:
+                            ending.start_soon(machine.end)
+            tasks.cancel_scope.cancel()
+        return self.violations
+
+    async def _under_load(self) -> None:
+        started_s = anyio.current_time()
+        async with anyio.create_task_group() as load:
+            load.start_soon(self._planned)
+            async with anyio.create_task_group() as striking:
+                striking.start_soon(self._send, load, started_s)
+                for fault in self.faults:
+                    striking.start_soon(self._strike, fault, started_s)
+        self._check(started_s)
+
+    async def _send(self, load, started_s: float) -> None:
+        end_s = started_s + FAULTS_S + RECOVERY_S
+        addresses = [*ADDRESS_BY_SERVICE.values(), DROPPED]
+        while anyio.current_time() < end_s:
+            address = self.rng.choices(addresses, (10, 4, 1))[0]
+            requests = self.rng.choice((1, 1, 1, 4))
+            pause_s = self.rng.uniform(0.05, 0.8)
+            load.start_soon(self.caller.flow, address, requests, pause_s)
+            await anyio.sleep(self.rng.expovariate(REQUESTS_PER_S))
+
+    async def _planned(self) -> None:
+        """Drain an endpoint, take a domain out and back, drop a route."""
+        await anyio.sleep(self.rng.uniform(0.0, 2.0))
+        leaving = self.endpoints[0]
+        self.register(leaving, "draining")
+        self.acks[leaving.name] = anyio.current_time()
+        await anyio.sleep(self.rng.uniform(0.0, 2.0))
+        self.configure(drop=True)
+        await anyio.sleep(self.rng.uniform(0.0, 1.0))
+        self.store.put("op/evacuate/c", {})
+        self.acks["out"] = anyio.current_time()
+        await anyio.sleep(machines.OUT_S + 3.0)
+        self.store.delete("op/evacuate/c")
+        self.acks["back"] = anyio.current_time()
+
+    async def _strike(self, fault: Fault, started_s: float) -> None:
+        left_s = started_s + fault.at_s - anyio.current_time()
+        await anyio.sleep(max(0.0, left_s))
+        if fault.kind == "forget history":
+            self.store.forget_history()
+            return
+        hit = [self.machines[fault.machine]]
+        if fault.kind == "kill all balancers":
+            hit = self.machines[:BALANCERS]
+        for machine in hit:
+            machine.touch(calm=False)
+        async with anyio.create_task_group() as tasks:
+            for machine in hit:
+                tasks.start_soon(self._apply, fault, machine)
+        for machine in hit:
+            machine.touch(calm=True)
+
+    @staticmethod
+    async def _apply(fault: Fault, machine: machines.Machine) -> None:
+        kind, _, mode = fault.kind.partition(" ")
+        if kind == "store":
+            machine.proxy.mode = mode
+            await anyio.sleep(fault.for_s)
+            machine.proxy.mode = "pass"
+        elif kind == "pause":
+            machine.signal(signal.SIGSTOP)
+            await anyio.sleep(fault.for_s)
+            machine.signal(signal.SIGCONT)
+        elif kind == "hangup":
+            machine.signal(signal.SIGHUP)
+        elif kind in ("kill", "stop"):
+            if kind == "kill" and machine.running:
+                machine.process.kill()
+            await machine.end()
+            await anyio.sleep(fault.for_s / 4)
+            if not machine.running:
+                machine.start()
+
+    def summary(self) -> str:
+        """Return how many requests ended in which way."""
+        kinds = collections.Counter(o.kind for o in self.caller.outcomes)
+        return ", ".join(f"{n} {kind}" for kind, n in kinds.most_common())
+
+    # Checks
+
+    def _fail(self, text: str) -> None:
+        self.violations.append(text)
+
+    def _check(self, started_s: float) -> None:
+        """Check the promises by what callers and endpoints saw."""
+        self._check_requests()
+        self._check_openings()
+        self._check_recovery(started_s + FAULTS_S)
+        for machine in self.machines:
+            if not machine.running:
+                self._fail(f"{machine.name} ended by itself")
+
+    def _check_requests(self) -> None:
+        service_by_address = {
+            address: name for name, address in ADDRESS_BY_SERVICE.items()
+        }
+        service_by_address[DROPPED] = "desk"
+        outcome_by_request = {o.request: o for o in self.caller.outcomes}
+        seen: dict[str, ends.Run] = {}
+        for run in self.runs:
+            outcome = outcome_by_request.get(run.request)
+            if outcome is None:
+                self._fail(f"{run.request!r} was run and never sent")
+            elif service_by_address[outcome.address] != run.service:
+                self._fail(f"{run.request} was run by {run.service}")
+            if run.request in seen:
+                self._fail(f"{run.request} was run twice")
+            seen[run.request] = run
+        for outcome in self.caller.outcomes:
+            service = service_by_address[outcome.address]
+            expected = f"{outcome.request} by {service}"
+            if outcome.kind == "answered" and outcome.body != expected:
+                self._fail(f"{outcome.request} got {outcome.body!r}")
+            calm_s = max(machine.calm_since_s for machine in self.machines)
+            if (
+                outcome.kind == "reset"
+                and outcome.opened
+                and outcome.ended_s > calm_s + machines.CALM_S
+                and outcome.address != DROPPED
+            ):
+                self._fail(f"{outcome.request} was reset while open")
+
+    def _check_openings(self) -> None:
+        calm_s = max(machine.calm_since_s for machine in self.machines)
+        calm_s += machines.CALM_S
+        for endpoint in self.endpoints:
+            drained_s = self.acks.get(endpoint.name)
+            domain = self.machine_of(endpoint).domain
+            for at_s, address in endpoint.openings:
+                if at_s < calm_s:
+                    continue
+                if drained_s and at_s > drained_s + machines.DRAIN_S:
+                    self._fail(f"{endpoint.name} drains and got a flow")
+                out_s, back_s = self.acks["out"], self.acks["back"]
+                if domain == "c" and out_s + machines.OUT_S < at_s < back_s:
+                    self._fail(f"{endpoint.name} is out and got a flow")
+                dropped_s = self.acks["dropped"] + machines.CONFIGURATION_S
+                if address == DROPPED and at_s > dropped_s:
+                    self._fail(f"{endpoint.name} got a flow without a route")
+
+    def _check_recovery(self, faults_end_s: float) -> None:
+        """All requests are answered once the last fault is long over."""
+        calm_s = max(machine.calm_since_s for machine in self.machines)
+        from_s = max(faults_end_s, calm_s) + machines.CALM_S
+        late = [
+            outcome
+            for outcome in self.caller.outcomes
+            if outcome.sent_s > from_s and outcome.address != DROPPED
+        ]
+        lost = [item for item in late if item.kind != "answered"]
+        for outcome in lost:
+            self._fail(f"{outcome.request} ended in {outcome.kind} when calm")
