--- a/src/bramleypin/internal/tool/log_commands.py
+++ b/src/bramleypin/internal/tool/log_commands.py
@@ -109,6 +109,43 @@
     return list(flows)[:5]
 
 
+@application.command()
+def waits(
+    files: Files,
+    json: fleet_options.Json = False,
+    count: typing.Annotated[
+        int, typer.Option("--count", min=1, help="How many to show.")
+    ] = 20,
+) -> None:
+    """Show the openings that waited longest until an agent took them.
+
+    Waits of just over 200 ms or 600 ms are those of a caller's second or
+    third copy: the copies before reached no balancer.
+
+    Example: bramleypin logs waits daemons.log --count 50
+    """
+    lines = log_lines.read(files)
+    first_s = lines[0].time_s
+    found = [
+        {
+            "after_s": round(line.time_s - first_s, 3),
+            "process": line.process,
+            **{
+                key: line.fields.get(key, "")
+                for key in ("waited_ms", "offers", "flow", "host")
+            },
+        }
+        for line in log_lines.longest_waits(lines, count)
+    ]
+    if json:
+        output.as_json(found)
+        return
+    columns = ("after_s", "process", "waited_ms", "offers", "flow", "host")
+    output.table(
+        columns, [[str(row[name]) for name in columns] for row in found]
+    )
+
+
 @application.command()
 def summary(
     files: Files,
--- a/src/bramleypin/internal/tool/log_lines.py
+++ b/src/bramleypin/internal/tool/log_lines.py
@@ -181,3 +181,10 @@
         number = int((line.time_s - first_s) / interval_s)
         found.setdefault(name, collections.Counter())[number] += 1
     return found
+
+
+def longest_waits(lines: list[Line], count: int) -> list[Line]:
+    """Return the openings that waited longest until an agent took them."""
+    taken = [line for line in lines if line.event == "opening taken"]
+    taken.sort(key=lambda line: -float(line.fields.get("waited_ms", 0.0)))
+    return taken[:count]
--- a/tests/cover/test_tool_logs.py
+++ b/tests/cover/test_tool_logs.py
@@ -105,6 +105,13 @@
         self.assertEqual(1, code)
         self.assertIn(FLOW, text)
 
+    def test_the_longest_waits_come_first(self):
+        """Guards against a search for late openings by hand."""
+        code, text = self.run_tool("logs", "waits", self.file, "--json")
+        self.assertEqual(0, code)
+        (found,) = json.loads(text)
+        self.assertEqual((FLOW, 2.0), (found["flow"], found["waited_ms"]))
+
     def test_the_summary_counts_losses_over_time(self):
         """Guards against losses that are counted in the wrong second."""
         code, text = self.run_tool("logs", "summary", self.file, "--json")
