--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
@@ -141,6 +142,30 @@
         self.assertEqual(3, relays)
         self.assertEqual([], behind)
 
+    def test_daemons_that_follow_each_other_still_read_the_store(self):
+        """Guards against two daemons that vouch for each other for ever.
+
+        Their views may differ just after a change of the endpoints, so each
+        may hold the other for a relay.
+        """
+        pair = ("10.0.0.1", "10.0.0.2")
+
+        def each_other(view, domain, own_host):
+            return [host for host in pair if host != own_host][:1]
+
+        async def scenario(fleet):
+            await build(fleet, balancers=2)
+            change(fleet, "draining")
+            await anyio.sleep(CHANGE_S)
+            return [
+                daemon.settings.id
+                for daemon in fleet.balancer_by_name.values()
+                if not reflects(daemon.kernel.get("view").view, "draining")
+            ]
+
+        with mock.patch.object(relay, "relays_of", each_other):
+            self.assertEqual([], test_stream_flows.play(scenario))
+
     def test_more_daemons_cost_hardly_more_calls(self):
         """Guards against a watch of the store in every daemon.
 
