--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -14,6 +14,13 @@
     4,
     # A balancer stops twice while the store refuses it and others.
     5,
+    # A hangup signal reached balancers that had just been started, before
+    # they handled signals, and ended them.
+    84,
+    85,
+    # A paused balancer delivered copies of requests a second late; the
+    # endpoint of the soak ran them again.
+    88,
 )
 
 
--- /dev/null
+++ b/tests/failures/test_stream_program.py
@@ -0,0 +1,35 @@
+"""Signals that reach the program before it runs."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from bramleypin.platform import boot
+
+
+class StartTest(unittest.TestCase):
+    def test_a_hangup_during_the_start_does_not_end_the_program(self):
+        """Guards against a daemon that a change of its settings kills.
+
+        The settings are a pipe, so the program waits for them after its
+        imports and before it handles signals.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            pipe = pathlib.Path(folder) / "node.json"
+            os.mkfifo(pipe)
+            process = subprocess.Popen(
+                [sys.executable, "-m", "bramleypin.platform"],
+                env={**os.environ, boot.BOOT_VARIABLE: str(pipe)},
+                stderr=subprocess.PIPE,
+            )
+            # Opening a pipe for writing waits for its reader.
+            with pipe.open("w") as settings:
+                process.send_signal(signal.SIGHUP)
+                settings.write("{")
+            _, text = process.communicate(timeout=30)
+        # It goes on to refuse the settings; a signal would give -1.
+        self.assertEqual(2, process.returncode, text)
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -108,13 +108,17 @@
                 flags = packet_module.ACK
                 self._send(flow, flags, state[0], found.sequence + 1)
             return
-        if found.data_bytes and found.sequence != state[1]:
-            state[1] = found.sequence
+        if not found.data_bytes:
+            return
+        end = (found.sequence + found.data_bytes) & MASK
+        # A daemon that was paused may deliver a copy of an old request long
+        # after; like a real endpoint, this one runs only what is new.
+        if state[1] is None or 0 < (end - state[1]) & MASK <= MASK // 2:
+            state[1] = end
             tasks.start_soon(self._work, flow, found)
-        elif found.data_bytes:
+        elif len(state) > 2 and state[2][0] == found.sequence:
             # The answer was lost, or is not ready yet.
-            if len(state) > 2 and state[2][0] == found.sequence:
-                self._send(flow, *state[2][1:])
+            self._send(flow, *state[2][1:])
 
     async def _work(self, flow, found: segment.Segment) -> None:
         request = found.raw[packet_module.HEADER_BYTES :].decode()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -305,8 +305,12 @@
                 self._fail(f"{run.request!r} was run and never sent")
             elif service_by_address[outcome.address] != run.service:
                 self._fail(f"{run.request} was run by {run.service}")
-            if run.request in seen:
-                self._fail(f"{run.request} was run twice")
+            before = seen.get(run.request)
+            if before is not None:
+                self._fail(
+                    f"{run.request} was run twice: {before.endpoint} at "
+                    f"{before.at_s:.3f}, {run.endpoint} at {run.at_s:.3f}"
+                )
             seen[run.request] = run
         for outcome in self.caller.outcomes:
             service = service_by_address[outcome.address]
