--- a/src/bramleypin/internal/tool/log_commands.py
+++ b/src/bramleypin/internal/tool/log_commands.py
@@ -177,7 +177,9 @@
         )
     }
     if html is not None:
-        _write(html, _page(series_by_reason, silences, interval_s))
+        output.write_report(
+            html, _page(series_by_reason, silences, interval_s)
+        )
     if json:
         output.as_json(
             {
@@ -228,13 +230,3 @@
         ".grid{stroke:#bbb}</style><h1>Lost openings and flows</h1>"
         f"{plots or '<p>No line tells of a loss.</p>'}<ul>{gaps}</ul></html>"
     )
-
-
-def _write(path: pathlib.Path, text: str) -> None:
-    try:
-        path.write_text(text, encoding="utf-8")
-    except OSError as error:
-        raise errors.InvalidSettings(
-            "command line", "--html", str(path), f"{error.strerror}"
-        ) from error
-    output.note(f"{path}: report written")
--- a/src/bramleypin/internal/tool/output.py
+++ b/src/bramleypin/internal/tool/output.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import json
+import pathlib
 import sys
 import time
 import typing
@@ -15,6 +16,8 @@
 import rich.table
 import rich.text
 
+from bramleypin import errors
+
 # A progress bar appears on work that takes longer than this.
 PROGRESS_AFTER_S = 2.0
 # Without a terminal, tables are not squeezed into 80 columns.
@@ -68,6 +71,20 @@
     console().clear()
 
 
+def write_report(path: pathlib.Path, text: str) -> None:
+    """Write the page that ``--html`` asks for.
+
+    :raises errors.InvalidSettings: when the file cannot be written.
+    """
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise errors.InvalidSettings(
+            "command line", "--html", str(path), f"{error.strerror}"
+        ) from error
+    note(f"{path}: report written")
+
+
 def as_json(value: object) -> None:
     """Print a value as one JSON document; keys keep their order."""
     text = json.dumps(value, indent=2, ensure_ascii=False, default=str)
--- a/src/bramleypin/internal/tool/report_commands.py
+++ b/src/bramleypin/internal/tool/report_commands.py
@@ -7,7 +7,6 @@
 
 import typer
 
-from bramleypin import errors
 from bramleypin.internal.tool import burn as burn_module
 from bramleypin.internal.tool import burn_page
 from bramleypin.internal.tool import fleet
@@ -55,7 +54,7 @@
     counts, statuses = fleet_options.ask(settings, peer, vms, requests)
     report = build(counts, statuses)
     if html is not None:
-        _write(html, burn_page.render(report))
+        output.write_report(html, burn_page.render(report))
     if json:
         output.as_json(_plain(report))
     else:
@@ -81,16 +80,6 @@
     )
 
 
-def _write(path: pathlib.Path, text: str) -> None:
-    try:
-        path.write_text(text, encoding="utf-8")
-    except OSError as error:
-        raise errors.InvalidSettings(
-            "command line", "--html", str(path), f"{error.strerror}"
-        ) from error
-    output.note(f"{path}: report written")
-
-
 def _plain(report: burn_page.Report) -> dict[str, typing.Any]:
     value = dataclasses.asdict(report)
     value["level"] = report.level
