Try a lost flow at all agents that may hold it and remember bounces

A restarted agent cannot rule out that its endpoint holds a flow, so each search ended with the same two of them: both returned the packet, the next packet 0.2 s later was tried there again, and the owner was never reached. After a power loss the same happened to every open flow until its caller gave up.

Change: a search that all agents answered tries the packet at every agent that may hold the flow at once, so the owner is among them. If an agent did not answer, it may be the owner's, and at most two others are tried in 2 s. An agent remembers the flows that its endpoint returned and rules them out for every balancer. A flow that no endpoint holds is reset at once.

Ruled out: asking again later without trials (idle flows are known to no agent after a restart); resetting without the agents' revisions (a balancer with an older view would reset flows of an endpoint it does not know).

--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -51,6 +51,7 @@
         "bramleypin.internal.stream.loads",
         "bramleypin.internal.stream.openings",
         "bramleypin.internal.stream.owners",
+        "bramleypin.internal.stream.trials",
         "bramleypin.internal.stream.balancer",
     ),
     "stream_agent": (
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -254,7 +254,7 @@
             # The endpoint may hold flows from before this process started.
             entry = self.flows.add(flow)
             entry.established = True
-        elif self._acknowledges_other_endpoint(entry, packet):
+        elif entry.belongs_to_other_endpoint(packet):
             self._return_packet(host, data)
             return
         entry.origin_host = host
@@ -267,24 +267,15 @@
         services = self._views.services_for_address(packet.destination)
         if self._views.view.loaded and self.settings.service not in services:
             return False
-        return not packet.opening and (
-            message.confirmed or self._started_recently()
-        )
+        if packet.opening or self.flows.has_bounced(packet.flow_from_caller()):
+            return False
+        return message.confirmed or self._started_recently()
 
     def _started_recently(self) -> bool:
         """Return whether flows older than this process may still be open."""
         age_s = anyio.current_time() - self._started_s
         return age_s < self.settings.bounds.flow_lifetime_s
 
-    @staticmethod
-    def _acknowledges_other_endpoint(
-        entry: endpoint_flows.EndpointFlow, packet: segment.Segment
-    ) -> bool:
-        """Return whether the packet acknowledges another endpoint's answer."""
-        if entry.established or packet.opening or not packet.ack:
-            return False
-        return not entry.is_acknowledged_by(packet.acknowledged)
-
     def _return_packet(self, host: str, data: bytes) -> None:
         self._metrics.count(PACKETS_NOT_HELD)
         self._peers.send(host, frames.FlowNotHeld(self.settings.host), data)
@@ -313,7 +304,9 @@
         flow = segment.Flow(*query.flow)
         entry = self.flows.flow_by_key.get(flow)
         if entry is None:
-            answer = "maybe" if self._started_recently() else "no"
+            may_hold = self._started_recently()
+            may_hold &= not self.flows.has_bounced(flow)
+            answer = "maybe" if may_hold else "no"
         elif (
             entry.established
             or query.acknowledged < MAX_OPENING_COPIES
@@ -323,7 +316,13 @@
         else:
             answer = "no"
         self._peers.send(
-            host, frames.LookupAnswer(query.lookup, self.settings.host, answer)
+            host,
+            frames.LookupAnswer(
+                query.lookup,
+                self.settings.host,
+                answer,
+                self._views.view.revision,
+            ),
         )
 
     def forward_from_endpoint(self, data: bytes) -> None:
@@ -379,6 +378,7 @@
         opened_here = entry.endpoint_sequence >= 0
         age_s = anyio.current_time() - entry.created_s
         self.flows.forget(entry)
+        self.flows.record_bounced(flow)
         _log.info(
             "the endpoint does not hold a flow",
             flow=str(flow),
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -13,15 +13,13 @@
 from bramleypin.internal.stream import openings as openings_module
 from bramleypin.internal.stream import owners as owners_module
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import trials as trials_module
 
 MAX_BURST_DATAGRAMS = 64
 PURGE_INTERVAL_S = 1.0
 MAX_FLOWS = 200_000
 # Maximum number of openings that are queued until a view is loaded.
 MAX_EARLY_OPENINGS = 2_000
-# A flow breaks when three of its packets reach wrong endpoints within 2 s, so
-# at most two hosts are tried without confirmation.
-MAX_TRIAL_HOSTS = 2
 
 PACKETS_RECEIVED = metrics.declare(
     "stream.packets_received", "counter", "packets", "Packets of callers."
@@ -53,22 +51,24 @@
 
 @dataclasses.dataclass(slots=True)
 class FlowOwner:
-    """The agent that holds a flow, according to this balancer.
-
-    ``confirmed`` is false while the host is only a guess. ``other_hosts`` are
-    tried next if the agent reports that it does not hold the flow.
-    """
+    """The agent that holds a flow, according to this balancer."""
 
     host: str
     seen_s: float
-    confirmed: bool = True
-    other_hosts: tuple[str, ...] = ()
 
 
 @kernel_module.service(
     "balancer",
     roles=("stream_balancer",),
-    needs=("view", "peer_port", "loads", "openings", "owners", "metrics"),
+    needs=(
+        "view",
+        "peer_port",
+        "loads",
+        "openings",
+        "owners",
+        "trials",
+        "metrics",
+    ),
 )
 class Balancer(kernel_module.Service):
     """Routes each packet to the agent that has accepted its flow."""
@@ -87,7 +87,11 @@
         self._openings.on_taken = self._on_taken
         self._openings.on_refused = self._on_refused
         self._owners.on_found = self._on_found
+        self._owners.on_unclear = self._on_unclear
         self._owners.on_lost = self._on_lost
+        self._trials: trials_module.Trials = kernel.get("trials")
+        self._trials.on_held = self._on_held
+        self._trials.on_held_nowhere = self._on_held_nowhere
         self._peers.set_handler(frames.FlowNotHeld, self._on_not_held)
         self.last_packet_s = float("-inf")
         self._early_by_flow: dict[
@@ -145,6 +149,11 @@
                 ):
                     opening.waiting_packets.append(packet)
             return
+        trial = self._trials.trial_by_flow.get(flow)
+        if trial is not None:
+            if len(trial.waiting_packets) < owners_module.MAX_WAITING_PACKETS:
+                trial.waiting_packets.append(packet)
+            return
         if packet.opening and packet.acknowledged == 0:
             self._openings.open_flow(packet, route, now_s)
             return
@@ -172,7 +181,7 @@
             self._reset_flow(flow, "no route")
 
     def _forward(self, owner: FlowOwner, packet: segment.Segment) -> None:
-        self._peers.send(owner.host, frames.Data(owner.confirmed), packet.raw)
+        self._peers.send(owner.host, frames.Data(confirmed=True), packet.raw)
 
     def _on_taken(self, opening: openings_module.Opening, host: str) -> None:
         owner = FlowOwner(host, anyio.current_time())
@@ -183,28 +192,34 @@
     def _on_refused(self, opening: openings_module.Opening) -> None:
         self._reset_flow(opening.flow, "no endpoint")
 
-    def _on_found(
-        self,
-        search: owners_module.OwnerSearch,
-        host: str,
-        other_hosts: list[str],
-    ) -> None:
-        owner = FlowOwner(
-            host,
-            anyio.current_time(),
-            confirmed=not other_hosts and not search.possible_hosts,
-            other_hosts=tuple(other_hosts[: MAX_TRIAL_HOSTS - 1]),
-        )
+    def _on_found(self, search: owners_module.OwnerSearch, host: str) -> None:
+        owner = FlowOwner(host, anyio.current_time())
         self._store_owner(search.flow, owner)
         if search.opening is not None:
             self._forward(owner, search.opening)
         for packet in search.waiting_packets:
             self._forward(owner, packet)
-            if not owner.confirmed:
-                break
+
+    def _on_unclear(self, search: owners_module.OwnerSearch) -> None:
+        if not self._trials.begin(search):
+            self._owners.delay_search(search.flow)
+
+    def _on_held(self, trial: trials_module.Trial, host: str) -> None:
+        owner = FlowOwner(host, anyio.current_time())
+        self._store_owner(trial.search.flow, owner)
+        for packet in trial.waiting_packets[1:]:
+            self._forward(owner, packet)
+
+    def _on_held_nowhere(self, trial: trials_module.Trial) -> None:
+        self._owners.delay_search(trial.search.flow)
+        tried_all = len(trial.search.possible_hosts) <= trials_module.MAX_HOSTS
+        if trial.search.settled and tried_all:
+            self._reset_lost_flow(trial.search, trial.waiting_packets)
 
     def _on_lost(self, search: owners_module.OwnerSearch) -> None:
         if search.opening is None:
+            if search.settled:
+                self._reset_lost_flow(search, search.waiting_packets)
             return
         configuration = self._view_manager.view.configuration
         route = configuration.route_by_address.get(search.opening.destination)
@@ -212,6 +227,28 @@
             arrived_s = anyio.current_time()
             self._openings.open_flow(search.opening, route, arrived_s)
 
+    def _reset_lost_flow(
+        self,
+        search: owners_module.OwnerSearch,
+        packets: list[segment.Segment],
+    ) -> None:
+        """Reset a flow that no endpoint holds, so that its caller retries.
+
+        Does nothing while an endpoint may be missing from the view: it could
+        hold the flow.
+        """
+        view_manager = self._view_manager
+        packet = packets[-1]
+        services = view_manager.services_for_address(packet.destination)
+        if (
+            packet.rst
+            or view_manager.may_miss_registrations()
+            or search.newest_revision > view_manager.view.revision
+            or not all(map(view_manager.registrations_settled, services))
+        ):
+            return
+        self._reset_flow(search.flow, "no endpoint holds it", packet)
+
     def _on_not_held(
         self, message: frames.FlowNotHeld, data: bytes, host: str
     ) -> None:
@@ -219,18 +256,15 @@
         if packet is None:
             return
         flow = packet.flow_from_caller()
+        trial = self._trials.trial_by_flow.get(flow)
+        if trial is not None:
+            self._trials.record_not_held(trial, host)
+            return
         owner = self.owner_by_flow.get(flow)
         if owner is None or owner.host != host:
             return
         del self.owner_by_flow[flow]
-        if owner.other_hosts:
-            first_host, *other_hosts = owner.other_hosts
-            trial_owner = FlowOwner(
-                first_host, anyio.current_time(), False, tuple(other_hosts)
-            )
-            self._store_owner(flow, trial_owner)
-            self._forward(trial_owner, packet)
-        elif owner.confirmed and packet.ack:
+        if packet.ack:
             self._owners.search(packet)
 
     def _store_owner(self, flow: segment.Flow, owner: FlowOwner) -> None:
@@ -238,11 +272,16 @@
         if len(self.owner_by_flow) > MAX_FLOWS:
             self.owner_by_flow.popitem(last=False)
 
-    def _reset_flow(self, flow: segment.Flow, reason: str) -> None:
-        """Send a reset for a flow that is not open.
+    def _reset_flow(
+        self,
+        flow: segment.Flow,
+        reason: str,
+        packet: segment.Segment | None = None,
+    ) -> None:
+        """Send a reset for a flow.
 
-        The reset has sequence number 0, because the caller of a flow that is
-        not open accepts any sequence number.
+        Its sequence number is what ``packet`` acknowledges. Without a packet
+        it is 0: the caller of a flow that is not open accepts any.
         """
         self._metrics.count(RESETS_SENT)
         _log.warn_throttled(
@@ -256,7 +295,9 @@
             segment.ipv4_to_text(flow.caller_host),
             self.kernel.settings.caller_port,
         )
-        self._peers.send_raw(self._codec.reset(flow, 0), caller_address)
+        sequence = 0 if packet is None else packet.acknowledged
+        reset = self._codec.reset(flow, sequence)
+        self._peers.send_raw(reset, caller_address)
 
     async def _open_early_flows(self) -> None:
         """Open the flows that were requested before a view was loaded."""
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -1,5 +1,6 @@
 """Flow table of one endpoint, built from packets in both directions."""
 
+import collections
 import dataclasses
 
 import anyio
@@ -17,6 +18,8 @@
 SAMPLE_WEIGHT = 0.1
 # Time that a caller is assumed to wait for an answer if no route states one.
 DEFAULT_BUDGET_S = 10.0
+# Maximum number of flows that the endpoint is known not to hold.
+MAX_BOUNCED_FLOWS = 20_000
 # Stream positions wrap around at 32 bits.
 SEQUENCE_MASK = 0xFFFFFFFF
 
@@ -69,6 +72,12 @@
             return False
         return (acknowledged - self.endpoint_sequence) & SEQUENCE_MASK <= 1
 
+    def belongs_to_other_endpoint(self, packet: segment.Segment) -> bool:
+        """Return whether a packet acknowledges another endpoint's answer."""
+        if self.established or packet.opening or not packet.ack:
+            return False
+        return not self.is_acknowledged_by(packet.acknowledged)
+
 
 class EndpointFlows:
     """The endpoint's flow table and the load derived from it.
@@ -86,6 +95,9 @@
         self.open_flow_count = 0
         self.service_time_s = 0.0
         self._caller_port = caller_port
+        self._bounced_flows: collections.OrderedDict[segment.Flow, None] = (
+            collections.OrderedDict()
+        )
 
     def add(self, key: segment.Flow) -> EndpointFlow:
         """Add a flow; its caller's address is converted to text only here."""
@@ -94,8 +106,22 @@
         entry = EndpointFlow(key, address, now_s, now_s)
         self.flow_by_key[key] = entry
         self.open_flow_count += 1
+        self._bounced_flows.pop(key, None)
         return entry
 
+    def record_bounced(self, key: segment.Flow) -> None:
+        """Record that the endpoint returned a packet of a flow.
+
+        It does not hold the flow unless it accepts an opening for it later.
+        """
+        self._bounced_flows[key] = None
+        if len(self._bounced_flows) > MAX_BOUNCED_FLOWS:
+            self._bounced_flows.popitem(last=False)
+
+    def has_bounced(self, key: segment.Flow) -> bool:
+        """Return whether the endpoint is known not to hold a flow."""
+        return key in self._bounced_flows
+
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
         is_open = entry.ended_s is None and not entry.endpoint_finished
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -152,12 +152,17 @@
     """The answer to a ``Lookup``: ``holds``, ``maybe`` or ``no``.
 
     A recently started agent answers ``maybe``, because its endpoint may hold
-    a flow from before the start.
+    a flow from before the start. ``revision`` is that of the agent's view.
     """
 
     lookup: int
     host: str
     answer: str
+    revision: int = -1
+
+    def view_revision(self) -> int:
+        """Return the revision of the sender's view."""
+        return self.revision
 
 
 @message(7)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -46,6 +46,7 @@
     that answered. ``opening`` is the flow's latest opening packet, if any
     arrived, and ``waiting_packets`` are its other packets. The agents in
     ``possible_hosts`` cannot rule out that they hold the flow.
+    ``newest_revision`` is the highest revision of the answering agents' views.
     """
 
     number: int
@@ -56,10 +57,16 @@
     waiting_packets: list[segment.Segment]
     possible_hosts: list[str] = dataclasses.field(default_factory=list)
     answer_count: int = 0
+    newest_revision: int = -1
 
+    @property
+    def settled(self) -> bool:
+        """Whether all agents that may hold the flow have answered."""
+        return 0 < self.asked_count <= self.answer_count
 
-FoundCallback = typing.Callable[[OwnerSearch, str, list[str]], None]
-LostCallback = typing.Callable[[OwnerSearch], None]
+
+FoundCallback = typing.Callable[[OwnerSearch, str], None]
+UnclearCallback = typing.Callable[[OwnerSearch], None]
 
 
 @kernel_module.service(
@@ -70,13 +77,14 @@
 class OwnerLookup(kernel_module.Service):
     """Finds the owners of flows that this balancer does not know.
 
-    The balancer sets the callbacks ``on_found(search, host, other_hosts)`` and
-    ``on_lost(search)``. ``other_hosts`` are the hosts to try if ``host`` does
-    not hold the flow.
+    The balancer sets the callbacks: ``on_found(search, host)``,
+    ``on_unclear(search)`` if only ``search.possible_hosts`` may hold the flow,
+    and ``on_lost(search)`` if no agent that answered holds it.
     """
 
     on_found: FoundCallback
-    on_lost: LostCallback
+    on_unclear: UnclearCallback
+    on_lost: UnclearCallback
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
@@ -138,8 +146,9 @@
         if message.answer == "holds":
             self._remove(search)
             self._metrics.count(LOOKUPS_FOUND)
-            self.on_found(search, host, [])
+            self.on_found(search, host)
             return
+        search.newest_revision = max(search.newest_revision, message.revision)
         if message.answer == "maybe":
             search.possible_hosts.append(host)
         if search.answer_count >= search.asked_count:
@@ -148,14 +157,10 @@
     def _complete(self, search: OwnerSearch) -> None:
         self._remove(search)
         if search.possible_hosts and search.waiting_packets:
-            first_host, *other_hosts = search.possible_hosts
-            self.on_found(search, first_host, other_hosts)
+            self.on_unclear(search)
             return
         self._metrics.count(LOOKUPS_LOST)
-        if len(self._delayed_until_by_flow) >= MAX_DELAYED_FLOWS:
-            self._delayed_until_by_flow.clear()
-        until_s = anyio.current_time() + RETRY_DELAY_S
-        self._delayed_until_by_flow[search.flow] = until_s
+        self.delay_search(search.flow)
         _log.info(
             "no agent holds the flow",
             flow=str(search.flow),
@@ -165,6 +170,13 @@
         )
         self.on_lost(search)
 
+    def delay_search(self, flow: segment.Flow) -> None:
+        """Start no search for a flow during ``RETRY_DELAY_S``."""
+        if len(self._delayed_until_by_flow) >= MAX_DELAYED_FLOWS:
+            self._delayed_until_by_flow.clear()
+        until_s = anyio.current_time() + RETRY_DELAY_S
+        self._delayed_until_by_flow[flow] = until_s
+
     def _remove(self, search: OwnerSearch) -> None:
         started_s = search.deadline_s - ANSWER_TIMEOUT_S
         self._metrics.observe(LOOKUP_TIME, anyio.current_time() - started_s)
--- /dev/null
+++ b/src/bramleypin/internal/stream/trials.py
@@ -0,0 +1,150 @@
+"""Tries a flow's packet at the agents that cannot rule out holding the flow.
+
+An agent that has restarted does not know its endpoint's flows; only the
+endpoint does, and it returns packets of flows that it does not hold.
+"""
+
+import dataclasses
+import typing
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import owners
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import ticker
+
+# An endpoint returns a packet within 1 ms, unless its machine is busy. The
+# rest allows for a round trip between failure domains.
+BOUNCE_TIMEOUT_S = 0.06
+TICK_INTERVAL_S = 0.01
+# A flow breaks if three of its packets reach wrong endpoints, and none its
+# own, within 2 s. When an agent did not answer the search, it may be the
+# owner's, so at most two other endpoints are tried within that time.
+MAX_UNSETTLED_HOSTS = 2
+UNSETTLED_WINDOW_S = 2.1
+# When all agents answered, the owner is among those tried. This bounds the
+# packets that one search sends.
+MAX_HOSTS = 64
+MAX_LIMITED_FLOWS = 10_000
+
+TRIALS_STARTED = metrics.declare(
+    "stream.trials_started",
+    "counter",
+    "flows",
+    "Flows whose packet was tried at agents that had restarted.",
+)
+TRIALS_FAILED = metrics.declare(
+    "stream.trials_failed",
+    "counter",
+    "flows",
+    "Flows that none of the endpoints tried held.",
+)
+
+_log = logs.get("trials")
+
+
+@dataclasses.dataclass(slots=True)
+class Trial:
+    """A trial in progress.
+
+    ``pending_hosts`` have not returned the packet. ``waiting_packets`` are
+    sent once the owner is known; the first one is the one that is tried.
+    """
+
+    search: owners.OwnerSearch
+    deadline_s: float
+    pending_hosts: list[str]
+    waiting_packets: list[segment.Segment]
+
+
+@kernel_module.service(
+    "trials", roles=("stream_balancer",), needs=("peer_port", "metrics")
+)
+class Trials(kernel_module.Service):
+    """Manages the trials in progress.
+
+    The balancer sets the callbacks ``on_held(trial, host)`` and
+    ``on_held_nowhere(trial)``.
+    """
+
+    on_held: typing.Callable[[Trial, str], None]
+    on_held_nowhere: typing.Callable[[Trial], None]
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self.trial_by_flow: dict[segment.Flow, Trial] = {}
+        self._tried_s_by_flow: dict[segment.Flow, list[float]] = {}
+        self._peers = kernel.get("peer_port")
+        self._metrics = kernel.get("metrics")
+        self._ticker = ticker.Ticker(TICK_INTERVAL_S)
+
+    def begin(self, search: owners.OwnerSearch) -> bool:
+        """Try a search's first packet at all agents that may hold the flow.
+
+        Returns false if no agent may be tried now.
+        """
+        hosts = search.possible_hosts[:MAX_HOSTS]
+        if not search.settled:
+            hosts = self._limit_hosts(search.flow, hosts)
+        if not hosts:
+            return False
+        self._metrics.count(TRIALS_STARTED)
+        self.trial_by_flow[search.flow] = Trial(
+            search,
+            anyio.current_time() + BOUNCE_TIMEOUT_S,
+            hosts,
+            search.waiting_packets,
+        )
+        message = frames.Data(confirmed=False)
+        for host in hosts:
+            self._peers.send(host, message, search.waiting_packets[0].raw)
+        self._ticker.wake()
+        return True
+
+    def _limit_hosts(self, flow: segment.Flow, hosts: list[str]) -> list[str]:
+        """Return the hosts that may be tried though the owner may be away."""
+        now_s = anyio.current_time()
+        tried_s = [
+            at_s
+            for at_s in self._tried_s_by_flow.pop(flow, [])
+            if now_s - at_s < UNSETTLED_WINDOW_S
+        ]
+        hosts = hosts[: max(0, MAX_UNSETTLED_HOSTS - len(tried_s))]
+        if len(self._tried_s_by_flow) >= MAX_LIMITED_FLOWS:
+            self._tried_s_by_flow.clear()
+        self._tried_s_by_flow[flow] = tried_s + [now_s] * len(hosts)
+        return hosts
+
+    def record_not_held(self, trial: Trial, host: str) -> None:
+        """Record that a host's endpoint returned the packet."""
+        if host in trial.pending_hosts:
+            trial.pending_hosts.remove(host)
+        if not trial.pending_hosts:
+            self._complete(trial)
+
+    def _complete(self, trial: Trial) -> None:
+        self.trial_by_flow.pop(trial.search.flow, None)
+        if trial.pending_hosts:
+            self.on_held(trial, trial.pending_hosts[0])
+            return
+        self._metrics.count(TRIALS_FAILED)
+        _log.info(
+            "none of the endpoints tried holds the flow",
+            flow=str(trial.search.flow),
+            tried=len(trial.search.possible_hosts),
+            settled=trial.search.settled,
+        )
+        self.on_held_nowhere(trial)
+
+    async def run(self) -> None:
+        """Complete trials whose packet was not returned in time."""
+        while True:
+            await self._ticker.wait(self.trial_by_flow)
+            now_s = anyio.current_time()
+            for trial in list(self.trial_by_flow.values()):
+                if trial.deadline_s <= now_s:
+                    self._complete(trial)
--- a/src/bramleypin/standins/stream_ends.py
+++ b/src/bramleypin/standins/stream_ends.py
@@ -15,6 +15,7 @@
 OPENING_SEND_TIMES_S = (0.0, 0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
 RETRANSMIT_INTERVAL_S = 0.2
+MAX_RETRANSMIT_INTERVAL_S = 1.6
 SEQUENCE_MASK = 0xFFFFFFFF
 REQUEST_START = b"request "
 REQUEST_END = b"end"
@@ -31,8 +32,10 @@
 class StreamEndpoint:
     """An endpoint that answers one request per flow and closes the flow.
 
-    While ``silent`` is set, it drops all packets, like a machine that has
-    lost power.
+    With ``keep_open``, it answers any number of requests on a flow and closes
+    none. While ``silent`` is set, it drops all packets, like a machine that
+    has lost power. ``received`` and ``bounced`` are the flows' packets, except
+    openings, that it accepted and returned.
     """
 
     def __init__(
@@ -42,25 +45,33 @@
         outbound: address.Address,
         slots: int = 5,
         work_s: float = 0.05,
+        keep_open: bool = False,
     ):
         self.process = process
         self.local_address = local_address
         self.outbound = outbound
         self.slots = slots
         self.work_s = work_s
+        self.keep_open = keep_open
         self.silent = False
+        self.received: list[FlowEvent] = []
+        self.bounced: list[FlowEvent] = []
         self.runs: list[FlowEvent] = []
         self.openings: list[FlowEvent] = []
         self.bounced_packets = 0
         self._codec = stream_codec.TestCodec()
         self._sequence_by_flow: dict[segment.Flow, int] = {}
         self._flows_with_request: set[segment.Flow] = set()
+        self._request_end_by_flow: dict[segment.Flow, int] = {}
+        self._sent_bytes_by_flow: dict[segment.Flow, int] = {}
         self._free_slots = anyio.Semaphore(slots)
 
     def crash(self) -> None:
         """Discard the state of all flows."""
         self._sequence_by_flow.clear()
         self._flows_with_request.clear()
+        self._request_end_by_flow.clear()
+        self._sent_bytes_by_flow.clear()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -83,22 +94,47 @@
             flags = stream_codec.SYN | stream_codec.ACK
             self._send(flow, flags, initial_sequence, packet.sequence + 1)
             return
-        sequence = self._sequence_by_flow.get(flow)
-        acknowledges_opening = sequence is not None and (
-            packet.acknowledged == (sequence + 1) & SEQUENCE_MASK
-        )
-        if not acknowledges_opening:
+        now_s = anyio.current_time()
+        if not self._holds(flow, packet.acknowledged):
             self.bounced_packets += 1
+            self.bounced.append(FlowEvent(flow, now_s))
             raw = bytearray(packet.raw)
             raw[stream_codec.FLAGS_OFFSET] |= stream_codec.BOUNCED
             self._port.send(bytes(raw), self.outbound)
-        elif (
-            packet.raw.endswith(REQUEST_END)
-            and flow not in self._flows_with_request
-        ):
+            return
+        self.received.append(FlowEvent(flow, now_s))
+        if not packet.raw.endswith(REQUEST_END):
+            return
+        if self.keep_open:
+            end = packet.sequence + packet.data_bytes
+            if end > self._request_end_by_flow.get(flow, 0):
+                self._request_end_by_flow[flow] = end
+                tasks.start_soon(self._serve_next_request, flow, end)
+        elif flow not in self._flows_with_request:
             self._flows_with_request.add(flow)
             tasks.start_soon(self._serve_request, flow, packet.sequence)
 
+    def _holds(self, flow: segment.Flow, acknowledged: int) -> bool:
+        sequence = self._sequence_by_flow.get(flow)
+        if sequence is None:
+            return False
+        ahead = (acknowledged - sequence - 1) & SEQUENCE_MASK
+        return ahead <= self._sent_bytes_by_flow.get(flow, 0)
+
+    async def _serve_next_request(self, flow: segment.Flow, end: int) -> None:
+        """Answer one of several requests of a flow with its end position."""
+        async with self._free_slots:
+            self.runs.append(FlowEvent(flow, anyio.current_time()))
+            await anyio.sleep(self.work_s)
+        own_sequence = self._sequence_by_flow.get(flow)
+        if own_sequence is None or self.silent:
+            return
+        sent_bytes = self._sent_bytes_by_flow.get(flow, 0)
+        answer = f"answer {end}".encode("ascii")
+        self._sent_bytes_by_flow[flow] = sent_bytes + len(answer)
+        position = own_sequence + 1 + sent_bytes
+        self._send(flow, stream_codec.ACK, position, end, answer)
+
     async def _serve_request(self, flow: segment.Flow, sequence: int) -> None:
         async with self._free_slots:
             self.runs.append(FlowEvent(flow, anyio.current_time()))
@@ -168,7 +204,7 @@
         """Send the opening packet of a flow that is not continued."""
         self._next_port += 1
         source = (segment.ipv4_to_int(self.process.host), self._next_port)
-        self._send(source, service_address, stream_codec.SYN, 0, 0)
+        self.send(source, service_address, stream_codec.SYN, 0, 0)
 
     async def request(
         self,
@@ -193,42 +229,48 @@
         del self._inbox_by_port[port]
         return Outcome(kind, anyio.current_time() - started_s)
 
-    async def _run_request(self, source, service_address, pause_s) -> str:
+    async def _open(self, source, service_address) -> segment.Segment | None:
+        """Send openings; return the first answer, or ``None`` without one."""
         started_s = anyio.current_time()
         for count, at_s in enumerate(OPENING_SEND_TIMES_S):
-            self._send(source, service_address, stream_codec.SYN, 0, count)
+            self.send(source, service_address, stream_codec.SYN, 0, count)
             wait_end_s = (*OPENING_SEND_TIMES_S[1:], OPENING_TIMEOUT_S)[count]
-            packet = await self._wait_for_packet(
+            packet = await self.wait_for_packet(
                 source[1], started_s + wait_end_s
             )
             if packet is not None:
-                break
-        else:
+                return packet
+        return None
+
+    async def _run_request(self, source, service_address, pause_s) -> str:
+        packet = await self._open(source, service_address)
+        if packet is None:
             return "silence"
         if packet.rst:
             return "reset"
         acknowledged = packet.sequence + 1
         if pause_s:
             flags = stream_codec.ACK
-            self._send(
+            self.send(
                 source, service_address, flags, 1, acknowledged, REQUEST_START
             )
             await anyio.sleep(pause_s)
         while True:
             flags = stream_codec.ACK
-            self._send(
+            self.send(
                 source, service_address, flags, 1, acknowledged, REQUEST_END
             )
             until_s = anyio.current_time() + RETRANSMIT_INTERVAL_S
-            packet = await self._wait_for_packet(
+            packet = await self.wait_for_packet(
                 source[1], until_s, answers_only=True
             )
             if packet is not None:
                 return "reset" if packet.rst else "answered"
 
-    async def _wait_for_packet(
+    async def wait_for_packet(
         self, port: int, until_s: float, answers_only: bool = False
     ) -> segment.Segment | None:
+        """Return the next packet to a port; ``None`` at ``until_s``."""
         with anyio.move_on_after(until_s - anyio.current_time()):
             while True:
                 for packet in self._inbox_by_port[port]:
@@ -239,9 +281,26 @@
                 await self._event_by_port[port].wait()
         return None
 
-    def _send(
+    async def open_kept_flow(
+        self, service_address: tuple[int, int]
+    ) -> "KeptFlow | None":
+        """Open a flow for several requests; ``None`` if none is accepted."""
+        self._next_port += 1
+        port = self._next_port
+        self._inbox_by_port[port] = []
+        self._event_by_port[port] = anyio.Event()
+        source = (segment.ipv4_to_int(self.process.host), port)
+        answer = await self._open(source, service_address)
+        if answer is None or answer.rst:
+            return None
+        kept_flow = KeptFlow(self, source, service_address, answer.sequence)
+        kept_flow.acknowledge()
+        return kept_flow
+
+    def send(
         self, source, service_address, flags, sequence, acknowledged, data=b""
     ) -> None:
+        """Send one packet through the balancer that the fabric chooses."""
         raw = stream_codec.encode(
             source,
             service_address,
@@ -256,3 +315,65 @@
                 hash((source, service_address)) % len(balancers)
             ]
             self._port.send(raw, ingress_address)
+
+
+class KeptFlow:
+    """An open flow on which a caller sends one request after another.
+
+    ``answers`` are the payloads of the endpoint's data packets, in order.
+    """
+
+    def __init__(
+        self,
+        caller: StreamCaller,
+        source: tuple[int, int],
+        service_address: tuple[int, int],
+        endpoint_sequence: int,
+    ):
+        self.flow = segment.Flow(*source, *service_address)
+        self.answers: list[bytes] = []
+        self._caller = caller
+        self._position = 1
+        self._acknowledged = endpoint_sequence + 1
+
+    def acknowledge(self) -> None:
+        """Send a packet without data."""
+        self._send(b"")
+
+    async def request(self, budget_s: float = 4.0) -> Outcome:
+        """Send one request and wait up to ``budget_s`` for its outcome."""
+        started_s = anyio.current_time()
+        kind = "silence"
+        data = REQUEST_START + REQUEST_END
+        with anyio.move_on_after(budget_s):
+            kind = await self._exchange(data)
+        self._position += len(data)
+        return Outcome(kind, anyio.current_time() - started_s)
+
+    async def _exchange(self, data: bytes) -> str:
+        interval_s = RETRANSMIT_INTERVAL_S
+        while True:
+            self._send(data)
+            until_s = anyio.current_time() + interval_s
+            interval_s = min(MAX_RETRANSMIT_INTERVAL_S, 2 * interval_s)
+            packet = await self._caller.wait_for_packet(
+                self.flow.caller_port, until_s, answers_only=True
+            )
+            if packet is None:
+                continue
+            if packet.rst:
+                return "reset"
+            self.answers.append(packet.raw[-packet.data_bytes :])
+            self._acknowledged = packet.sequence + packet.data_bytes
+            self.acknowledge()
+            return "answered"
+
+    def _send(self, data: bytes) -> None:
+        self._caller.send(
+            self.flow[:2],
+            self.flow[2:],
+            stream_codec.ACK,
+            self._position,
+            self._acknowledged,
+            data,
+        )
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -337,6 +337,7 @@
         service: str = "desk",
         slots: int = 5,
         work_s: float = 0.05,
+        keep_open: bool = False,
     ) -> stream_ends.StreamEndpoint:
         """Start an endpoint and its agent and register the endpoint."""
         endpoint_address = address.Address(host, ENDPOINT_PORT)
@@ -354,7 +355,7 @@
         agent.start()
         process = self.network.process(name, host, domain)
         endpoint = stream_ends.StreamEndpoint(
-            process, endpoint_address, outbound, slots, work_s
+            process, endpoint_address, outbound, slots, work_s, keep_open
         )
         self.endpoint_by_name[name] = endpoint
         virtual_process.spawn(self.tasks, process, endpoint.run)
