Ask all agents for a flow that its route's services do not hold

Change: a search that finds no owner among the route's services asks all other agents, at most 200, before any packet is tried and before a flow is taken for lost. An agent that started recently takes packets of routes that do not name its service; its endpoint returns those of flows it has not.

Failing first: a flow at a service that its route no longer names, with and without restarted agents.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -81,7 +81,6 @@
         self._reports = kernel.get("reports")
         self.flows: endpoint_flows.EndpointFlows = self._admission.flows
         self._metrics = kernel.get("metrics")
-        self._started_s = anyio.current_time()
         self._unanswered_openings = 0
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
         self._peers.set_handler(frames.Offer, self._on_offer)
@@ -116,6 +115,7 @@
         if packet is None or not packet.opening:
             return
         self._reports.record_balancer(offer.origin_host)
+        self._views.last_use_s = anyio.current_time()
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
         if entry is not None and entry.ended_s is None:
@@ -263,18 +263,17 @@
     def _endpoint_may_hold_flow(
         self, message: frames.Data, packet: segment.Segment
     ) -> bool:
-        """Return whether a flow that this agent does not know may be open."""
-        services = self._views.services_for_address(packet.destination)
-        if self._views.view.loaded and self.settings.service not in services:
-            return False
+        """Return whether a flow that this agent does not know may be open.
+
+        Shortly after the start, the flow's route may have named this service
+        in a version of the configuration that this process has not seen.
+        """
         if packet.opening or self.flows.has_bounced(packet.flow_from_caller()):
             return False
-        return message.confirmed or self._started_recently()
-
-    def _started_recently(self) -> bool:
-        """Return whether flows older than this process may still be open."""
-        age_s = anyio.current_time() - self._started_s
-        return age_s < self.settings.bounds.flow_lifetime_s
+        if self.flows.started_recently():
+            return True
+        services = self._views.services_for_address(packet.destination)
+        return message.confirmed and self.settings.service in services
 
     def _return_packet(self, host: str, data: bytes) -> None:
         self._metrics.count(PACKETS_NOT_HELD)
@@ -304,7 +303,7 @@
         flow = segment.Flow(*query.flow)
         entry = self.flows.flow_by_key.get(flow)
         if entry is None:
-            may_hold = self._started_recently()
+            may_hold = self.flows.started_recently()
             may_hold &= not self.flows.has_bounced(flow)
             answer = "maybe" if may_hold else "no"
         elif (
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -129,6 +129,7 @@
             return
         self._metrics.count(PACKETS_RECEIVED)
         now_s = self.last_packet_s = anyio.current_time()
+        self._view_manager.last_use_s = now_s
         flow = packet.flow_from_caller()
         configuration = self._view_manager.view.configuration
         route = configuration.route_by_address.get(packet.destination)
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -7,6 +7,7 @@
 
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import settings as stream_settings
 
 # Late packets may still arrive for a flow that has ended, and the endpoint
 # answers them. The agent therefore keeps the flow for as long as either side
@@ -88,13 +89,15 @@
     ``service_time_s`` is 0 until the first request has been answered.
     """
 
-    def __init__(self, caller_port: int):
+    def __init__(self, settings: stream_settings.StreamSettings):
         self.flow_by_key: dict[segment.Flow, EndpointFlow] = {}
         self.half_open_by_key: dict[segment.Flow, EndpointFlow] = {}
         self.running_requests = 0
         self.open_flow_count = 0
         self.service_time_s = 0.0
-        self._caller_port = caller_port
+        self._caller_port = settings.caller_port
+        self._lifetime_s = settings.bounds.flow_lifetime_s
+        self._started_s = anyio.current_time()
         self._bounced_flows: collections.OrderedDict[segment.Flow, None] = (
             collections.OrderedDict()
         )
@@ -122,6 +125,10 @@
         """Return whether the endpoint is known not to hold a flow."""
         return key in self._bounced_flows
 
+    def started_recently(self) -> bool:
+        """Return whether flows older than this process may still be open."""
+        return anyio.current_time() - self._started_s < self._lifetime_s
+
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
         is_open = entry.ended_s is None and not entry.endpoint_finished
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -1,4 +1,8 @@
-"""Finds the agent that holds a flow by asking all agents of its service."""
+"""Finds the agent that holds a flow by asking the agents that may hold it.
+
+The agents of the services that the flow's route names are asked first. Only
+if none of them holds the flow, all others are asked.
+"""
 
 import dataclasses
 import typing
@@ -21,6 +25,9 @@
 # retransmitted packet starts one.
 RETRY_DELAY_S = 0.15
 MAX_DELAYED_FLOWS = 10_000
+# Bounds the frames of one search in a large fleet. A search that leaves agents
+# out never shows that a flow is lost.
+MAX_ASKED_HOSTS = 200
 
 LOOKUPS_FOUND = metrics.declare(
     "stream.lookups_found", "counter", "flows", "Searches with an owner."
@@ -42,8 +49,9 @@
 class OwnerSearch:
     """A search in progress.
 
-    ``asked_count`` and ``answer_count`` count the agents that were asked and
-    that answered. ``opening`` is the flow's latest opening packet, if any
+    ``asked_hosts`` are the agents that were asked, ``answer_count`` counts
+    those that answered. ``asked_all`` is true once all endpoints of the view
+    were asked. ``opening`` is the flow's latest opening packet, if any
     arrived, and ``waiting_packets`` are its other packets. The agents in
     ``possible_hosts`` cannot rule out that they hold the flow.
     ``newest_revision`` is the highest revision of the answering agents' views.
@@ -51,18 +59,26 @@
 
     number: int
     flow: segment.Flow
+    started_s: float
     deadline_s: float
-    asked_count: int
+    asked_hosts: dict[str, None]
     opening: segment.Segment | None
     waiting_packets: list[segment.Segment]
     possible_hosts: list[str] = dataclasses.field(default_factory=list)
     answer_count: int = 0
     newest_revision: int = -1
+    acknowledged: int = 0
+    asked_all: bool = False
 
     @property
     def settled(self) -> bool:
         """Whether all agents that may hold the flow have answered."""
-        return 0 < self.asked_count <= self.answer_count
+        return self.asked_all and self.all_answered
+
+    @property
+    def all_answered(self) -> bool:
+        """Whether all agents that were asked have answered."""
+        return 0 < len(self.asked_hosts) <= self.answer_count
 
 
 FoundCallback = typing.Callable[[OwnerSearch, str], None]
@@ -111,22 +127,48 @@
         now_s = anyio.current_time()
         if self._delayed_until_by_flow.get(flow, now_s) > now_s:
             return
-        hosts = self._candidate_hosts(packet.destination)
         self._last_search_number = (self._last_search_number + 1) & 0x7FFFFFFF
         search = OwnerSearch(
             number=self._last_search_number,
             flow=flow,
+            started_s=now_s,
             deadline_s=now_s + ANSWER_TIMEOUT_S,
-            asked_count=len(hosts),
+            asked_hosts={},
             opening=packet if packet.opening else None,
             waiting_packets=[] if packet.opening else [packet],
+            acknowledged=packet.acknowledged,
         )
         self.search_by_flow[flow] = search
         self._search_by_number[search.number] = search
-        message = frames.Lookup(search.number, flow, packet.acknowledged)
+        self._ask(search, self._candidate_hosts(packet.destination))
+        self._ticker.wake()
+
+    def _ask(self, search: OwnerSearch, hosts: list[str]) -> None:
+        message = frames.Lookup(
+            search.number, search.flow, search.acknowledged
+        )
         for host in hosts:
+            search.asked_hosts[host] = None
             self._peers.send(host, message)
-        self._ticker.wake()
+
+    def _widen(self, search: OwnerSearch) -> bool:
+        """Ask the agents that were not asked before; false if there is none.
+
+        A flow stays where it is when its route moves to another service. A
+        process that has started since does not know that service.
+        """
+        other_hosts = [
+            host
+            for host in self._view_manager.view.hosts
+            if host not in search.asked_hosts
+        ]
+        hosts = other_hosts[: MAX_ASKED_HOSTS - len(search.asked_hosts)]
+        search.asked_all = len(hosts) == len(other_hosts)
+        if not hosts:
+            return False
+        search.deadline_s = anyio.current_time() + ANSWER_TIMEOUT_S
+        self._ask(search, hosts)
+        return True
 
     def _candidate_hosts(self, destination: tuple[int, int]) -> list[str]:
         services = self._view_manager.services_for_address(destination)
@@ -140,7 +182,7 @@
         self, message: frames.LookupAnswer, _: bytes, host: str
     ) -> None:
         search = self._search_by_number.get(message.lookup)
-        if search is None:
+        if search is None or host not in search.asked_hosts:
             return
         search.answer_count += 1
         if message.answer == "holds":
@@ -151,10 +193,15 @@
         search.newest_revision = max(search.newest_revision, message.revision)
         if message.answer == "maybe":
             search.possible_hosts.append(host)
-        if search.answer_count >= search.asked_count:
+        if search.all_answered:
             self._complete(search)
 
     def _complete(self, search: OwnerSearch) -> None:
+        # A copy of an opening needs no certainty: the caller keeps the flow
+        # at the endpoint whose answer it acknowledges.
+        is_open = bool(search.waiting_packets)
+        if is_open and not search.asked_all and self._widen(search):
+            return
         self._remove(search)
         if search.possible_hosts and search.waiting_packets:
             self.on_unclear(search)
@@ -164,7 +211,7 @@
         _log.info(
             "no agent holds the flow",
             flow=str(search.flow),
-            asked=search.asked_count,
+            asked=len(search.asked_hosts),
             answered=search.answer_count,
             revision=self._view_manager.view.revision,
         )
@@ -178,8 +225,8 @@
         self._delayed_until_by_flow[flow] = until_s
 
     def _remove(self, search: OwnerSearch) -> None:
-        started_s = search.deadline_s - ANSWER_TIMEOUT_S
-        self._metrics.observe(LOOKUP_TIME, anyio.current_time() - started_s)
+        duration_s = anyio.current_time() - search.started_s
+        self._metrics.observe(LOOKUP_TIME, duration_s)
         self.search_by_flow.pop(search.flow, None)
         self._search_by_number.pop(search.number, None)
 
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -70,7 +70,7 @@
         super().__init__(kernel)
         self._view_manager = kernel.get("view")
         self.settings = kernel.settings
-        self.flows = endpoint_flows.EndpointFlows(kernel.settings.caller_port)
+        self.flows = endpoint_flows.EndpointFlows(kernel.settings)
         self.leaving = False
         self.endpoint_silent = False
         # A new process does not know how many requests the endpoint received
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -156,6 +156,13 @@
         )
     )
 
+    @property
+    def hosts(self) -> dict[str, None]:
+        """The hosts of all endpoints, in the order of registration."""
+        return dict.fromkeys(
+            endpoint.host for endpoint in self.endpoint_by_id.values()
+        )
+
     @property
     def loaded(self) -> bool:
         """Whether a configuration has been loaded."""
@@ -233,10 +240,16 @@
 
     receiving: bool
 
-    async def read(self) -> Changes:
-        """Return a full listing of the store.
+    async def read(self, allow_stale: bool = False) -> tuple[Changes, ...]:
+        """Return a full listing of the store and the changes after it.
+
+        With ``allow_stale``, the store may answer with an old listing, which
+        costs less, and a watch adds the changes since. The result is current
+        in both cases.
 
         :raises errors.PlatformUnavailable: when the store does not answer.
+        :raises errors.PlatformHistoryLost: when the store has discarded the
+            changes after a stale listing.
         """
 
     async def watch(self, after: int, wait_s: float) -> Changes:
--- a/tests/cover/test_stream_admission.py
+++ b/tests/cover/test_stream_admission.py
@@ -225,7 +225,7 @@
         """Guards against slots that stay busy when the caller has given up."""
 
         async def main():
-            flows = endpoint_flows.EndpointFlows(7001)
+            flows = endpoint_flows.EndpointFlows(_Settings)
             entry = flows.add(segment.Flow(1, 2, 3, 4))
             entry.established = True
             entry.budget_s = 1.5
@@ -244,7 +244,7 @@
         """
 
         async def main():
-            flows = endpoint_flows.EndpointFlows(7001)
+            flows = endpoint_flows.EndpointFlows(_Settings)
             entry = flows.add(segment.Flow(1, 2, 3, 4))
             flows.end(entry)
             counts = []
--- a/tests/failures/test_kept_flows.py
+++ b/tests/failures/test_kept_flows.py
@@ -3,7 +3,9 @@
 import unittest
 
 import anyio
+import parameterized
 
+from bramleypin.standins import stream_fleet
 from tests.failures import test_stream_flows
 
 SERVICE = test_stream_flows.SERVICE
@@ -156,6 +158,39 @@
         )
         self.assertEqual(set(), broken)
 
+    @parameterized.parameterized.expand([(False,), (True,)])
+    def test_a_flow_at_a_service_that_its_route_no_longer_names_is_found(
+        self, agents_restart
+    ):
+        """Guards against processes that know only the newest configuration.
+
+        The route has moved to another service, which leaves open flows where
+        they are. Balancers that start later have not seen the older version.
+        """
+
+        async def scenario(fleet):
+            kept_flows = await start_kept_flows(fleet, endpoints=4)
+            fleet.add_endpoint("d0", "10.0.2.1", "a", "docs", keep_open=True)
+            fleet.store.configure(
+                stream_fleet.configuration(
+                    2, stream_fleet.route(service="docs")
+                )
+            )
+            await anyio.sleep(0.5)
+            restarting = list(fleet.balancer_by_name.values())
+            if agents_restart:
+                restarting += fleet.agent_by_name.values()
+            await restart(*restarting)
+            await anyio.sleep(0.5)
+            outcomes = await request_on_each(kept_flows)
+            return outcomes, broken_flows(fleet)
+
+        outcomes, broken = test_stream_flows.run_scenario(scenario)
+        self.assertEqual(
+            {"answered"}, test_stream_flows.outcome_kinds(outcomes)
+        )
+        self.assertEqual(set(), broken)
+
     def test_no_flow_is_reset_while_an_agent_does_not_answer(self):
         """Guards against a reset of a flow whose endpoint is still alive."""
 
