Start from a stale listing and ask the relays at once

A start costs a call for each page of 50 entries, and then a watch for each group of registrations until the first query of the relays, 1.2 s later. A follower that had watched the store itself was ahead of its relay's changes and read the store again.

Change: the first listing allows stale pages, which cost a tenth, and a watch that returns at once adds the changes since; nothing is used before both have arrived. The relays are asked as soon as the endpoints are known. A change from a relay also fits a view that is newer than its base. While a deployment starts for the first time and no caller waits, registrations are fetched in groups of 0.6 s. The reader moves to a module of its own.

Failing first: a stale listing that is used as it is (four kinds of change) fails the new test in tests/failures/test_relay.py; so does the platform's test of listings with the old interface.

--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -24,6 +24,7 @@
     "bramleypin.internal.observe.metrics",
     "bramleypin.internal.observe.metrics_http",
     "bramleypin.internal.stream.view_manager",
+    "bramleypin.internal.stream.view_reader",
     "bramleypin.internal.stream.peer_port",
     "bramleypin.internal.stream.relay",
     "bramleypin.internal.stream.readiness",
--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -180,11 +180,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._announce_changes)
             random = self.kernel.environment.random
+            while not self._view_manager.view.endpoint_by_id:
+                await self._view_manager.wait_for_change()
             while True:
+                self._query_relays()
                 await anyio.sleep(
                     self._query_interval_s * (0.8 + 0.4 * random.random())
                 )
-                self._query_relays()
 
     def _query_relays(self) -> None:
         view = self._view_manager.view
@@ -266,6 +268,7 @@
         relay.revision = message.revision
         if message.revision <= view.revision and message.base != view.revision:
             # Already received from the other relay or from the store.
+            self._confirmation_changed.set()
             return
         now_s = anyio.current_time()
         changes = view_delta.changes_from_delta(view, message, now_s)
--- a/src/bramleypin/internal/stream/settings.py
+++ b/src/bramleypin/internal/stream/settings.py
@@ -40,7 +40,8 @@
     endpoint and ``outbound`` the one that receives the endpoint's packets;
     only agents have them. ``seeds`` are daemons to fetch a view from when
     the metadata store is unavailable. Metrics are served at
-    ``metrics_address`` unless it is ``None``.
+    ``metrics_address`` unless it is ``None``. ``is_first_start`` is true when
+    the whole deployment starts for the first time.
     """
 
     role: str
@@ -57,6 +58,7 @@
     outbound: address.Address | None = None
     bounds: Bounds = Bounds()
     log_level: str = "INFO"
+    is_first_start: bool = False
     metrics_address: address.Address | None = None
     metrics: settings_module.Metrics = settings_module.Metrics()
 
--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -231,9 +231,13 @@
 def changes_from_delta(
     view: view_module.View, delta: ViewDelta, now_s: float
 ) -> view_module.Changes | None:
-    """Return a delta's changes; ``None`` if its base is another view."""
+    """Return a delta's changes; ``None`` if changes before it are missing.
+
+    A view that is newer than the delta's base has some of the changes already,
+    because this daemon has watched the store itself.
+    """
     version = view.configuration.version
-    if delta.base != view.revision or delta.version != version:
+    if delta.base > view.revision or delta.version != version:
         return None
     change = delta.configuration
     return view_module.Changes(
--- /dev/null
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -0,0 +1,206 @@
+"""Reads the view from the metadata store."""
+
+import anyio
+
+from bramleypin import errors
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import view as view_module
+from bramleypin.internal.stream import view_manager
+
+# Maximum duration of a watch without a change. A longer watch detects a silent
+# connection later, though a drained endpoint must receive no new flow after
+# 3 s; a shorter watch costs more calls.
+WATCH_WAIT_S = 4.0
+# Changes arrive in groups, e.g. when several endpoints start. After a change,
+# the next watch is delayed by this time and fetches the rest of the group in
+# one call. This is a tenth of the tightest bound for a change, 3 s.
+GROUP_DELAY_S = 0.3
+# Group delay after a start or an outage, when callers wait for registrations.
+URGENT_GROUP_DELAY_S = 0.05
+# Group delay after the first start of a deployment while no caller waits: all
+# endpoints register in these seconds, before traffic is sent.
+IDLE_GROUP_DELAY_S = 0.6
+# Callers wait if one sent a packet within this time.
+MAX_USE_AGE_S = 2.0
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 0.8
+# Callers wait while a daemon has no view, so another attempt to list the store
+# starts before the last one times out: the store may have recovered since. It
+# answers in 4 ms. The interval grows because each call is charged.
+MIN_HEDGE_INTERVAL_S = 0.1
+MAX_HEDGE_INTERVAL_S = 0.3
+HEDGE_GROWTH = 1.3
+# Registrations may have lapsed in an outage of at least this length.
+MIN_OUTAGE_S = 1.0
+
+STORE_CALLS_ANSWERED = metrics.declare(
+    "store.calls_answered", "counter", "calls", "Calls the store answered."
+)
+STORE_CALLS_FAILED = metrics.declare(
+    "store.calls_failed",
+    "counter",
+    "calls",
+    "Calls that the store refused or did not answer in time.",
+)
+STORE_LISTING_TIME = metrics.declare(
+    "store.listing_time",
+    "histogram",
+    "seconds",
+    "Time until the first listing of the store was complete.",
+)
+
+_log = logs.get("view")
+
+
+@kernel_module.service(
+    "view_reader",
+    roles=("stream_balancer", "stream_agent"),
+    needs=("view", "relay", "metrics"),
+)
+class ViewReader(kernel_module.Service):
+    """Lists the store once; watches it while no relay confirms the view."""
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self._view_manager: view_manager.ViewManager = kernel.get("view")
+        self._relay = kernel.get("relay")
+        self._metrics = kernel.get("metrics")
+        self._source: view_module.ViewSource = kernel.environment.platform
+        self._random = kernel.environment.random
+        self._listing_complete = False
+        self.store_failing = False
+
+    async def run(self) -> None:
+        """Read the store until cancelled, retrying after failures."""
+        retry_s = MIN_RETRY_S
+        outage_started_s: float | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._remove_lapsed_periodically)
+            await self._list_store()
+            while True:
+                await self._relay.wait_until_unconfirmed()
+                # An unanswered request fails long after the outage began, so
+                # the outage is measured from the start of the request.
+                request_started_s = anyio.current_time()
+                try:
+                    results = await self._next_changes()
+                except errors.PlatformHistoryLost as error:
+                    _log.info(
+                        "store history lost, listing again", reason=str(error)
+                    )
+                    self._listing_complete = False
+                    continue
+                except errors.PlatformUnavailable as error:
+                    self.store_failing = True
+                    self._metrics.count(STORE_CALLS_FAILED)
+                    if outage_started_s is None:
+                        outage_started_s = request_started_s
+                        self._log_failure(error)
+                    await anyio.sleep(retry_s * (0.5 + self._random.random()))
+                    retry_s = min(MAX_RETRY_S, 2 * retry_s)
+                    continue
+                if outage_started_s is not None:
+                    outage_s = anyio.current_time() - outage_started_s
+                    _log.info(
+                        "the store answers again", after_s=round(outage_s, 3)
+                    )
+                    if outage_s > MIN_OUTAGE_S:
+                        self._view_manager.delay_removals()
+                retry_s, outage_started_s = MIN_RETRY_S, None
+                self.store_failing = False
+                self._metrics.count(STORE_CALLS_ANSWERED)
+                self._relay.record_store_answer()
+                old_revision = self._view_manager.view.revision
+                for changes in results:
+                    self._view_manager.apply(changes)
+                self._listing_complete = True
+                if self._view_manager.view.revision > old_revision:
+                    await anyio.sleep(self._group_delay_s())
+
+    def _group_delay_s(self) -> float:
+        """Return the time after a change until the next watch, in seconds."""
+        if not self._view_manager.may_miss_registrations():
+            return GROUP_DELAY_S
+        if self.kernel.settings.is_first_start and not self._is_used():
+            return IDLE_GROUP_DELAY_S
+        return URGENT_GROUP_DELAY_S
+
+    def _is_used(self) -> bool:
+        """Return whether a packet was routed by the view recently."""
+        age_s = anyio.current_time() - self._view_manager.last_use_s
+        return age_s < MAX_USE_AGE_S
+
+    def _log_failure(self, error: errors.PlatformUnavailable) -> None:
+        _log.warning(
+            "the store does not answer",
+            error=str(error),
+            revision=self._view_manager.view.revision,
+        )
+
+    async def _list_store(self) -> None:
+        """List the store for the first time, with overlapping attempts.
+
+        No attempt is added while an answer is being received: on a slow link,
+        several large listings would delay each other until all time out.
+        """
+        started_s = anyio.current_time()
+        hedge_interval_s = MIN_HEDGE_INTERVAL_S
+        async with anyio.create_task_group() as attempts:
+            while not self._listing_complete:
+                if not self._source.receiving:
+                    attempts.start_soon(
+                        self._attempt_listing, attempts.cancel_scope
+                    )
+                await anyio.sleep(hedge_interval_s)
+                hedge_interval_s = min(
+                    MAX_HEDGE_INTERVAL_S, hedge_interval_s * HEDGE_GROWTH
+                )
+                if self._view_manager.view.loaded:
+                    # Another daemon has since supplied a view, so callers no
+                    # longer wait for this listing. Each call is charged, so
+                    # the next request waits for the longest retry interval.
+                    hedge_interval_s = MAX_RETRY_S
+        self.store_failing = False
+        after_s = anyio.current_time() - started_s
+        self._metrics.observe(STORE_LISTING_TIME, after_s)
+        _log.info(
+            "first listing of the store complete",
+            after_s=round(after_s, 3),
+            revision=self._view_manager.view.revision,
+        )
+
+    async def _attempt_listing(self, attempts: anyio.CancelScope) -> None:
+        try:
+            try:
+                results = await self._source.read(allow_stale=True)
+            except errors.PlatformHistoryLost:
+                results = await self._source.read()
+        except errors.PlatformUnavailable as error:
+            self._metrics.count(STORE_CALLS_FAILED)
+            if not self.store_failing:
+                self.store_failing = True
+                self._log_failure(error)
+            return
+        if not self._listing_complete:
+            self._listing_complete = True
+            self._relay.record_store_answer()
+            self._view_manager.record_first_listing()
+            for changes in results:
+                self._view_manager.apply(changes)
+        attempts.cancel()
+
+    async def _next_changes(self) -> tuple[view_module.Changes, ...]:
+        if not self._listing_complete:
+            return await self._source.read()
+        revision = self._view_manager.view.revision
+        wait_s = WATCH_WAIT_S
+        if self._relay.has_followers():
+            wait_s = min(wait_s, self._relay.watch_wait_s)
+        return (await self._source.watch(revision, wait_s),)
+
+    async def _remove_lapsed_periodically(self) -> None:
+        while True:
+            await anyio.sleep(self.kernel.settings.bounds.reregistration_s / 4)
+            self._view_manager.remove_lapsed()
--- a/src/bramleypin/platform/boot.py
+++ b/src/bramleypin/platform/boot.py
@@ -50,6 +50,7 @@
     platform: _StoreLocation
     internal_ports: list[int]
     seeds: list[str] = []
+    bootstrap: bool = False
     service: str = ""
     app: str = ""
     bounds: _Bounds = _Bounds()
@@ -116,6 +117,7 @@
         caller_port=ingress.port,
         readiness_path=READINESS_PATH,
         service=boot.service,
+        is_first_start=boot.bootstrap,
         metrics_address=address.Address(ingress.host, METRICS_PORT),
         endpoint=_optional_address(boot.app),
         outbound=_optional_address(boot.listen.outbound),
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -128,6 +128,20 @@
         return status, body
 
 
+async def _watch(
+    connection: _Connection, after: int, wait_s: float
+) -> view.Changes:
+    query = {
+        "prefix": "",
+        "after": str(after),
+        "wait_ms": str(int(wait_s * 1000)),
+    }
+    timeout_s = wait_s + READ_TIMEOUT_S
+    page = await connection.get(WATCH_PATH, query, timeout_s)
+    now_s = anyio.current_time()
+    return decoding.decode(page.events, page.as_of, now_s, False)
+
+
 class StoreClient:
     """Implements ``view.ViewSource``.
 
@@ -145,35 +159,47 @@
         """Whether a listing has arrived in part, but not completely."""
         return any(connection.receiving for connection in self._listings)
 
-    async def read(self) -> view.Changes:
-        """Read all items of the store, page by page.
+    async def read(
+        self, allow_stale: bool = False
+    ) -> tuple[view.Changes, ...]:
+        """Read all items of the store, page by page, and the changes since.
+
+        A stale page costs a tenth of a current one. A watch that returns at
+        once then adds the changes after the oldest of the pages.
 
         :raises errors.PlatformUnavailable: if the store does not answer.
+        :raises errors.PlatformHistoryLost: if the store has discarded the
+            changes after a stale listing.
         """
         connection = _Connection(self._address)
         self._listings.append(connection)
         items: list[decoding.Item] = []
         revision = None
         last_key = ""
+        query = {"prefix": ""}
+        if allow_stale:
+            query["allow_stale"] = "1"
         try:
             for _ in range(MAX_PAGES):
-                query = {"prefix": ""}
                 if last_key:
                     query["after"] = last_key
                 page = await connection.get(RANGE_PATH, query, READ_TIMEOUT_S)
-                # Pages are not a snapshot, so the revision of the first page
-                # is returned; a watch from it reports any later changes.
-                revision = page.as_of if revision is None else revision
+                # Pages are not a snapshot, and a stale page may be older than
+                # the one before. A watch from the oldest reports all changes.
+                revision = min(page.as_of, revision or page.as_of)
                 items += page.items
                 if not page.has_more or not page.items:
                     break
                 last_key = page.items[-1].key
+            listing = decoding.decode(
+                items, revision or 0, anyio.current_time(), True
+            )
+            if not allow_stale:
+                return (listing,)
+            return listing, await _watch(connection, listing.revision, 0.0)
         finally:
             self._listings.remove(connection)
             await connection.aclose()
-        return decoding.decode(
-            items, revision or 0, anyio.current_time(), True
-        )
 
     async def watch(self, after: int, wait_s: float) -> view.Changes:
         """Wait for changes after the revision ``after``.
@@ -184,15 +210,7 @@
         :raises errors.PlatformHistoryLost: if the store has discarded the
             changes after that revision.
         """
-        query = {
-            "prefix": "",
-            "after": str(after),
-            "wait_ms": str(int(wait_s * 1000)),
-        }
-        timeout_s = wait_s + READ_TIMEOUT_S
-        page = await self._watch_connection.get(WATCH_PATH, query, timeout_s)
-        now_s = anyio.current_time()
-        return decoding.decode(page.events, page.as_of, now_s, False)
+        return await _watch(self._watch_connection, after, wait_s)
 
     async def aclose(self) -> None:
         """Close the connection that is used for watches."""
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -70,7 +70,8 @@
     ``refused_hosts`` always do. While ``silent`` is set, all requests stay
     unanswered and fail after ``LISTING_TIMEOUT_S``; those of ``silent_hosts``
     always do. A watch that is already waiting fails in the same way at the
-    next change.
+    next change. A stale listing shows the state ``stale_commits`` changes ago.
+    ``calls`` counts calls as they are charged: a stale one costs a tenth.
     """
 
     def __init__(self):
@@ -83,7 +84,11 @@
         self.transfer_s = 0.0
         self.refused_hosts: set[str] = set()
         self.silent_hosts: set[str] = set()
-        self.calls = 0
+        self.calls = 0.0
+        self.stale_commits = 0
+        self._states: list[tuple[int, view.Configuration, tuple, tuple]] = [
+            (self.revision, self.configuration, (), ())
+        ]
         self._change_log: list[tuple[int, str, object]] = []
         self._oldest_revision = 0
         self._change_event = anyio.Event()
@@ -91,6 +96,14 @@
     def _commit(self, kind: str, value: object) -> None:
         self.revision += 1
         self._change_log.append((self.revision, kind, value))
+        self._states.append(
+            (
+                self.revision,
+                self.configuration,
+                tuple(self.endpoint_by_id.values()),
+                tuple(self.domains_out),
+            )
+        )
         change_event, self._change_event = self._change_event, anyio.Event()
         change_event.set()
 
@@ -134,23 +147,24 @@
     def _mark_seen(self, endpoint: view.Endpoint) -> view.Endpoint:
         return dataclasses.replace(endpoint, seen_s=anyio.current_time())
 
-    async def read(self, host: str) -> view.Changes:
+    async def read(self, host: str, allow_stale: bool) -> view.Changes:
         """Return a complete listing.
 
         :raises errors.PlatformUnavailable: when the store is unavailable.
         """
-        self.calls += 1
+        self.calls += 0.1 if allow_stale else 1.0
         await anyio.sleep(STORE_LATENCY_S)
         await self._raise_if_unavailable(host)
-        has_configuration = self.configuration.version >= 0
+        index = len(self._states) - 1
+        if allow_stale:
+            index = max(0, index - self.stale_commits)
+        revision, listed, endpoints, domains_out = self._states[index]
         return view.Changes(
-            self.revision,
-            self.configuration if has_configuration else None,
-            tuple(
-                self._mark_seen(item) for item in self.endpoint_by_id.values()
-            ),
+            revision,
+            listed if listed.version >= 0 else None,
+            tuple(self._mark_seen(item) for item in endpoints),
             (),
-            tuple(self.domains_out),
+            domains_out,
             (),
             complete=True,
         )
@@ -208,16 +222,18 @@
         """Whether a listing is being transferred."""
         return self.transfers > 0
 
-    async def read(self) -> view.Changes:
-        """Return a complete listing after its simulated transfer.
+    async def read(
+        self, allow_stale: bool = False
+    ) -> tuple[view.Changes, ...]:
+        """Return a listing after its simulated transfer, and later changes.
 
         :raises errors.PlatformUnavailable: when the store is unavailable, or
             the transfer takes longer than ``LISTING_TIMEOUT_S``.
         """
-        listing = await self.store.read(self.host)
+        listing = await self.store.read(self.host, allow_stale)
         remaining_s = self.store.transfer_s
         if remaining_s <= 0:
-            return listing
+            return await self._with_later_changes(listing, allow_stale)
         self.transfers += 1
         try:
             with anyio.fail_after(LISTING_TIMEOUT_S):
@@ -229,7 +245,14 @@
             raise errors.PlatformUnavailable(message) from error
         finally:
             self.transfers -= 1
-        return listing
+        return await self._with_later_changes(listing, allow_stale)
+
+    async def _with_later_changes(
+        self, listing: view.Changes, allow_stale: bool
+    ) -> tuple[view.Changes, ...]:
+        if not allow_stale:
+            return (listing,)
+        return listing, await self.watch(listing.revision, 0.0)
 
     async def watch(self, after: int, wait_s: float) -> view.Changes:
         """Wait up to ``wait_s`` for changes after a revision."""
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -342,7 +342,7 @@
 
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(listener.serve, serve)
-                decoded = await client.read()
+                (decoded,) = await client.read()
                 tasks.cancel_scope.cancel()
             return decoded, receiving_states, client.receiving
 
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -171,6 +171,54 @@
         with mock.patch.object(relay, "relays_for", each_other):
             self.assertEqual([], test_stream_flows.run_scenario(scenario))
 
+    def test_a_daemon_that_joins_costs_two_calls_at_most(self):
+        """Guards against starts that read the store again and again.
+
+        Endpoints change while half as many daemons again are started.
+        """
+
+        async def scenario(fleet):
+            await start_fleet(fleet, balancers=4)
+            await anyio.sleep(2.0)
+            calls_before = fleet.store.calls
+            for number in range(20):
+                if number == 10:
+                    for joining in range(8):
+                        name = f"joined{joining}"
+                        fleet.add_balancer(name, f"10.0.3.{joining}", "a")
+                fleet.store.put(
+                    fleet.registration("e1", cold_s=100.0 - number)
+                )
+                await anyio.sleep(0.25)
+            calls_of_relays = 3 * 20
+            return fleet.store.calls - calls_before - calls_of_relays
+
+        calls = test_stream_flows.run_scenario(scenario)
+        self.assertLessEqual(calls, 8 * 2)
+
+    @parameterized.parameterized.expand(CHANGES)
+    def test_a_daemon_that_starts_uses_no_state_from_a_stale_listing(
+        self, kind
+    ):
+        """Guards against endpoints and routes that come back with a restart.
+
+        The listing of a start may be seconds old.
+        """
+
+        async def scenario(fleet):
+            await start_fleet(fleet, balancers=1)
+            publish_change(fleet, kind)
+            fleet.store.stale_commits = 1
+            await anyio.sleep(CHANGE_S)
+            joined = fleet.add_balancer("joined", "10.0.3.1", "a")
+            while joined.kernel is None or not (
+                joined.kernel.get("view").view.loaded
+            ):
+                await anyio.sleep(0.001)
+            return includes_change(joined.kernel.get("view").view, kind)
+
+        self.assertTrue(test_stream_flows.run_scenario(scenario))
+
     def test_more_daemons_cost_hardly_more_calls(self):
         """Guards against a watch of the store by every daemon.
 
