--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -49,6 +49,7 @@
     ),
     "stream_balancer": (
         *_STREAM_MODULES,
+        "bramleypin.internal.stream.candidates",
         "bramleypin.internal.stream.loads",
         "bramleypin.internal.stream.openings",
         "bramleypin.internal.stream.owners",
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import typing
 
 import anyio
 
@@ -87,6 +88,7 @@
     the SYN+ACK. ``running_requests`` is the number of requests at the
     endpoint, ``open_flow_count`` the number of flows that have not ended.
     ``service_time_s`` is 0 until the first request has been answered.
+    ``on_request_end()`` is called when a request ends.
     """
 
     def __init__(self, settings: stream_settings.StreamSettings):
@@ -95,6 +97,7 @@
         self.running_requests = 0
         self.open_flow_count = 0
         self.service_time_s = 0.0
+        self.on_request_end: typing.Callable[[], None] = lambda: None
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
         self._started_s = anyio.current_time()
@@ -142,6 +145,7 @@
         if entry.request_started_s is None:
             return
         self.running_requests -= 1
+        self.on_request_end()
         duration_s = anyio.current_time() - entry.request_started_s
         entry.request_started_s = None
         if not answered or not entry.measures_service_time:
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -176,6 +176,17 @@
         return self.report.revision
 
 
+@message(11)
+class SlotRequest(Message):
+    """Asks an agent to report its next free slot to the sender.
+
+    The sender has a postponed opening for ``service``. The request holds for
+    one report, and only for a short time.
+    """
+
+    service: str
+
+
 def encode(body: Message, packet: bytes = b"") -> bytes:
     """Return a frame that carries a message and an optional packet."""
     header = cbor2.dumps(msgspec.to_builtins(body))
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -11,6 +11,8 @@
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
+# A free slot is asked for once in this time, however many openings wait.
+SLOT_REQUEST_INTERVAL_S = 0.1
 # Time for which an agent that did not answer is ranked behind responsive ones.
 UNRESPONSIVE_S = 1.0
 # Assumed service time until an agent has reported one.
@@ -30,7 +32,7 @@
 # the same reports choose different endpoints.
 MAX_SCORE_JITTER = 0.1
 # Maximum number of agents in one offer, including those it is passed on to.
-MAX_CANDIDATES = 3
+MAX_OFFERED_HOSTS = 3
 
 _log = logs.get("loads")
 
@@ -56,6 +58,7 @@
     reported_s: float = float("-inf")
     offers_since_report: int = 0
     unresponsive_until_s: float = float("-inf")
+    slot_requested_s: float = float("-inf")
 
     def lacks_capacity_for(self, is_late: bool) -> bool:
         """Return whether a request has neither a free slot nor queue space.
@@ -140,6 +143,7 @@
             )
         load.state = report.state
         load.reported_s = anyio.current_time()
+        load.slot_requested_s = float("-inf")
         load.offers_since_report = 0
         load.unresponsive_until_s = float("-inf")
         if load.state == "ready" and not load.lacks_capacity_for(is_late=True):
@@ -153,6 +157,15 @@
             if load.cold_allowance > 0:
                 load.cold_allowance -= 1
 
+    def record_waiting(self, host: str) -> bool:
+        """Return whether to ask a host's agent for its next free slot now."""
+        load = self.load_by_host[host]
+        now_s = anyio.current_time()
+        if now_s - load.slot_requested_s < SLOT_REQUEST_INTERVAL_S:
+            return False
+        load.slot_requested_s = now_s
+        return True
+
     def mark_unresponsive(self, host: str) -> None:
         """Lower the rank of an agent that did not answer an offer in time."""
         load = self._load_for_host(host, 1)
@@ -171,28 +184,14 @@
             load = self.load_by_host[host] = AgentLoad(slots=slots)
         return load
 
-    def eligible_endpoints(self, service: str) -> list[view_module.Endpoint]:
-        """Return the endpoints that may receive new flows.
-
-        Excludes draining endpoints and those in a failure domain that is out
-        of service.
-        """
-        view = self._view_manager.view
-        return [
-            endpoint
-            for endpoint in view.endpoint_by_host(service).values()
-            if not endpoint.draining
-            and endpoint.failure_domain not in view.domains_out
-        ]
-
     def ranked_hosts(
         self,
-        service: str,
+        candidates: list[view_module.Endpoint],
         route: view_module.Route,
         tried_hosts: list[str],
         is_late: bool = False,
     ) -> list[str]:
-        """Return the hosts to offer a new flow to, best first.
+        """Return the candidates' hosts to offer a new flow to, best first.
 
         Unresponsive hosts and hosts without capacity come last, and
         ``tried_hosts`` are left out. For a late request, only a free slot
@@ -201,7 +200,7 @@
         now_s = anyio.current_time()
         score = SCORES.get("expected_time")
         ranked: list[tuple[int, float, str]] = []
-        for endpoint in self.eligible_endpoints(service):
+        for endpoint in candidates:
             host = endpoint.host
             if host in tried_hosts:
                 continue
@@ -221,7 +220,7 @@
                 (self._rank_class(load, now_s, is_late), value, host)
             )
         ranked.sort()
-        return [host for _, _, host in ranked[:MAX_CANDIDATES]]
+        return [host for _, _, host in ranked[:MAX_OFFERED_HOSTS]]
 
     def reported_service(self, host: str) -> str:
         """Return the service reported by the agent on a host."""
@@ -239,13 +238,16 @@
         )
 
     def will_miss_objective(
-        self, service: str, age_s: float, latency_objective_s: float
+        self,
+        candidates: list[view_module.Endpoint],
+        age_s: float,
+        latency_objective_s: float,
     ) -> bool:
-        """Return whether no endpoint can answer within the objective.
+        """Return whether no candidate can answer within the objective.
 
         ``age_s`` is the time that the request has waited. The result is false
         when the objective is 0, which means no objective, or shorter than
-        the service time of the fastest endpoint.
+        the service time of the fastest candidate.
         """
         fastest_s = min(
             (
@@ -253,7 +255,7 @@
                     endpoint.host, endpoint.slots
                 ).service_time_s
                 or DEFAULT_SERVICE_TIME_S
-                for endpoint in self.eligible_endpoints(service)
+                for endpoint in candidates
             ),
             default=DEFAULT_SERVICE_TIME_S,
         )
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -8,6 +8,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import postponed
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
 from bramleypin.internal.stream import view as view_module
@@ -88,7 +89,7 @@
 @kernel_module.service(
     "openings",
     roles=("stream_balancer",),
-    needs=("view", "peer_port", "loads", "metrics"),
+    needs=("view", "peer_port", "candidates", "loads", "metrics"),
 )
 class Openings(kernel_module.Service):
     """Manages the openings in progress.
@@ -104,10 +105,11 @@
         self._last_offer_number = kernel.environment.random.getrandbits(31)
         self._view_manager = kernel.get("view")
         self._peers = kernel.get("peer_port")
+        self._candidates = kernel.get("candidates")
         self._loads = kernel.get("loads")
         self._metrics = kernel.get("metrics")
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
-        self._postponed_by_flow: dict[segment.Flow, Opening] = {}
+        self._postponed = postponed.PostponedOpenings()
         self._peers.set_handler(frames.OfferAnswer, self._on_offer_answer)
         self._loads.on_free_slot = self._offer_postponed
 
@@ -139,23 +141,31 @@
         self._offer(opening)
         self._ticker.wake()
 
-    def _offer(self, opening: Opening) -> None:
-        self._postponed_by_flow.pop(opening.flow, None)
+    def _offer(self, opening: Opening, free_host: str = "") -> bool:
+        """Offer, postpone or refuse an opening; false if it is postponed.
+
+        ``free_host`` reported a free slot and is a candidate as well.
+        """
+        self._postponed.discard(opening.flow)
         now_s = anyio.current_time()
         if now_s - opening.started_s > MAX_OPENING_AGE_S:
             self._refuse(opening, "no endpoint in time")
-            return
+            return True
+        candidates = self._candidates.to_open(opening.service, opening.flow)
+        free = self._candidates.endpoint(opening.service, free_host)
+        if free is not None and free not in candidates:
+            candidates.append(free)
         is_late = self._loads.will_miss_objective(
-            opening.service,
+            candidates,
             now_s - opening.started_s,
             opening.route.latency_objective_s,
         )
         hosts = self._loads.ranked_hosts(
-            opening.service, opening.route, opening.tried_hosts, is_late
+            candidates, opening.route, opening.tried_hosts, is_late
         )
         if not hosts or self._loads.reports_no_capacity(hosts[0], is_late):
-            self._postpone(opening, now_s, is_late)
-            return
+            self._postpone(opening, now_s, is_late, hosts)
+            return False
         self._last_offer_number = (self._last_offer_number + 1) & 0x7FFFFFFF
         opening.offer_numbers.append(self._last_offer_number)
         self._opening_by_offer[self._last_offer_number] = opening
@@ -180,15 +190,19 @@
         )
         opening.tried_hosts.append(opening.host)
         self._loads.count_offer(opening.host)
+        return True
 
-    def _postpone(self, opening: Opening, now_s: float, is_late: bool) -> None:
+    def _postpone(
+        self, opening: Opening, now_s: float, is_late: bool, hosts: list[str]
+    ) -> None:
         """Postpone an opening until an endpoint may have capacity.
 
-        Refuses it if no endpoint of the service may receive new flows and no
-        registration is missing from the view.
+        Asks the agents on ``hosts`` to report a free slot. Refuses the opening
+        if no endpoint of the service may receive new flows and no registration
+        is missing from the view.
         """
         opening.tried_hosts.clear()
-        none_eligible = not self._loads.eligible_endpoints(opening.service)
+        none_eligible = not self._candidates.any_eligible(opening.service)
         if none_eligible and self._view_manager.registrations_settled(
             opening.service
         ):
@@ -199,29 +213,20 @@
         opening.next_offer_s = now_s + (
             LATE_RETRY_INTERVAL_S if is_late else RETRY_INTERVAL_S
         )
-        self._postponed_by_flow[opening.flow] = opening
+        self._postponed.add(opening)
+        for host in hosts:
+            if self._loads.record_waiting(host):
+                self._peers.send(host, frames.SlotRequest(opening.service))
 
     def _offer_postponed(self, host: str) -> None:
-        """Offer postponed openings after an endpoint reported a free slot.
-
-        Openings that can still meet their latency objective come first, then
-        the oldest ones.
-        """
-        if not self._postponed_by_flow:
-            return
+        """Offer postponed openings after an endpoint reported a free slot."""
         service = self._loads.reported_service(host)
-        postponed = [
-            opening
-            for opening in self._postponed_by_flow.values()
-            if opening.service == service
-        ]
-        postponed.sort(
-            key=lambda opening: (opening.is_late, opening.started_s)
-        )
-        for opening in postponed:
-            if self._loads.reports_no_capacity(host, is_late=True):
+        while len(self._postponed) and not self._loads.reports_no_capacity(
+            host, is_late=True
+        ):
+            opening = self._postponed.pop_next(service)
+            if opening is None or not self._offer(opening, host):
                 return
-            self._offer(opening)
 
     def _on_offer_answer(
         self, message: frames.OfferAnswer, _: bytes, host: str
@@ -278,7 +283,7 @@
 
     def _remove(self, opening: Opening) -> None:
         self.opening_by_flow.pop(opening.flow, None)
-        self._postponed_by_flow.pop(opening.flow, None)
+        self._postponed.discard(opening.flow)
         for number in opening.offer_numbers:
             self._opening_by_offer.pop(number, None)
 
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -1,7 +1,7 @@
 """Finds the agent that holds a flow by asking the agents that may hold it.
 
-The agents of the services that the flow's route names are asked first. Only
-if none of them holds the flow, all others are asked.
+The candidates of the flow at the services that its route names are asked
+first. Only if none of them holds the flow, all other agents are asked.
 """
 
 import dataclasses
@@ -88,7 +88,7 @@
 @kernel_module.service(
     "owners",
     roles=("stream_balancer",),
-    needs=("view", "peer_port", "metrics"),
+    needs=("view", "peer_port", "candidates", "metrics"),
 )
 class OwnerLookup(kernel_module.Service):
     """Finds the owners of flows that this balancer does not know.
@@ -110,6 +110,7 @@
         self._last_search_number = kernel.environment.random.getrandbits(31)
         self._view_manager = kernel.get("view")
         self._peers = kernel.get("peer_port")
+        self._candidates = kernel.get("candidates")
         self._metrics = kernel.get("metrics")
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
         self._peers.set_handler(frames.LookupAnswer, self._on_lookup_answer)
@@ -140,7 +141,7 @@
         )
         self.search_by_flow[flow] = search
         self._search_by_number[search.number] = search
-        self._ask(search, self._candidate_hosts(packet.destination))
+        self._ask(search, self._candidate_hosts(packet))
         self._ticker.wake()
 
     def _ask(self, search: OwnerSearch, hosts: list[str]) -> None:
@@ -170,12 +171,12 @@
         self._ask(search, hosts)
         return True
 
-    def _candidate_hosts(self, destination: tuple[int, int]) -> list[str]:
-        services = self._view_manager.services_for_address(destination)
+    def _candidate_hosts(self, packet: segment.Segment) -> list[str]:
+        services = self._view_manager.services_for_address(packet.destination)
+        flow = packet.flow_from_caller()
         hosts: dict[str, None] = {}
-        for endpoint in self._view_manager.view.endpoint_by_id.values():
-            if endpoint.service in services:
-                hosts[endpoint.host] = None
+        for service in sorted(services):
+            hosts |= dict.fromkeys(self._candidates.to_search(service, flow))
         return list(hosts)
 
     def _on_lookup_answer(
--- a/src/bramleypin/internal/stream/recent_hosts.py
+++ b/src/bramleypin/internal/stream/recent_hosts.py
@@ -31,3 +31,7 @@
             key=self._last_seen_s_by_host.__getitem__,
             reverse=True,
         )
+
+    def oldest_first(self) -> list[str]:
+        """Remove expired hosts and return the others, least recent first."""
+        return self.newest_first()[::-1]
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -155,6 +155,28 @@
             default_factory=dict, init=False, repr=False, compare=False
         )
     )
+    _ineligible_hosts_by_service: dict[str, frozenset[str]] = (
+        dataclasses.field(
+            default_factory=dict, init=False, repr=False, compare=False
+        )
+    )
+
+    def ineligible_hosts(self, service: str) -> frozenset[str]:
+        """Return a service's hosts that may receive no new flow.
+
+        Their endpoints are draining, or their failure domain is out of
+        service. The result is cached like ``endpoint_by_host``.
+        """
+        cached = self._ineligible_hosts_by_service.get(service)
+        if cached is None:
+            cached = frozenset(
+                host
+                for host, endpoint in self.endpoint_by_host(service).items()
+                if endpoint.draining
+                or endpoint.failure_domain in self.domains_out
+            )
+            self._ineligible_hosts_by_service[service] = cached
+        return cached
 
     @property
     def hosts(self) -> dict[str, None]:
--- a/tests/cover/test_stream_loads.py
+++ b/tests/cover/test_stream_loads.py
@@ -48,6 +48,16 @@
     return view.View(1, configuration, endpoint_by_id, frozenset(out))
 
 
+def eligible_endpoints(known_view) -> list[view.Endpoint]:
+    """Return the endpoints of the service that may receive a new flow."""
+    ineligible = known_view.ineligible_hosts("desk")
+    return [
+        endpoint
+        for host, endpoint in known_view.endpoint_by_host("desk").items()
+        if host not in ineligible
+    ]
+
+
 def report(
     host,
     running_requests=0,
@@ -83,7 +93,10 @@
         for host in unresponsive:
             service.mark_unresponsive(host)
         await anyio.sleep(wait_s)
-        return service.ranked_hosts("desk", stream_fleet.route(), list(tried))
+        candidates = eligible_endpoints(view_ or view_of_three())
+        return service.ranked_hosts(
+            candidates, stream_fleet.route(), list(tried)
+        )
 
     return virtual_network.run(main)
 
--- a/tests/cover/test_stream_openings.py
+++ b/tests/cover/test_stream_openings.py
@@ -37,19 +37,29 @@
 class _Loads:
     """Ranks one endpoint after another, all with free capacity."""
 
-    def ranked_hosts(self, service, route, tried_hosts, is_late):
+    def ranked_hosts(self, candidates, route, tried_hosts, is_late):
         return [f"10.0.1.{len(tried_hosts)}"]
 
     def reports_no_capacity(self, host, is_late):
         return False
 
-    def will_miss_objective(self, service, age_s, latency_objective_s):
+    def will_miss_objective(self, candidates, age_s, latency_objective_s):
         return False
 
     def count_offer(self, host):
         """Ignore an offer."""
 
 
+class _Candidates:
+    """Knows no endpoints; ``_Loads`` ranks made-up hosts."""
+
+    def to_open(self, service, flow):
+        return []
+
+    def endpoint(self, service, host):
+        return None
+
+
 class _Kernel:
     class settings:
         host = "10.0.0.1"
@@ -61,6 +71,7 @@
         self._service_by_name = {
             "view": _ViewManager(),
             "peer_port": peers,
+            "candidates": _Candidates(),
             "loads": _Loads(),
             "metrics": None,
         }
