--- a/src/bramleypin/platform/boot.py
+++ b/src/bramleypin/platform/boot.py
@@ -101,7 +101,8 @@
     port = boot.internal_ports[0]
     # All VMs use the same internal ports, so other daemons reach a seed at its
     # own host and at this daemon's internal port number.
-    seeds = (address.parse(seed).host for seed in boot.seeds)
+    hosts = (address.parse(seed).host for seed in boot.seeds)
+    seeds = (address.Address(h, port) for h in hosts if h != ingress.host)
     return stream_settings.StreamSettings(
         role=role,
         id=boot.node,
@@ -109,11 +110,7 @@
         ingress=ingress,
         peers=address.Address(ingress.host, port),
         readiness=address.parse(boot.listen.ready_addr),
-        seeds=tuple(
-            address.Address(host, port)
-            for host in seeds
-            if host != ingress.host
-        ),
+        seeds=tuple(seeds),
         caller_port=ingress.port,
         readiness_path=READINESS_PATH,
         service=boot.service,
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -111,11 +111,8 @@
                 self._stream = await anyio.connect_tcp(*self._address)
             self._connection = h11.Connection(h11.CLIENT)
         stream, connection = self._stream, self._connection
-        request = h11.Request(
-            method="GET",
-            target=target,
-            headers=[("Host", str(self._address))],
-        )
+        headers = [("Host", str(self._address))]
+        request = h11.Request(method="GET", target=target, headers=headers)
         data = connection.send(request) + connection.send(h11.EndOfMessage())
         await stream.send(data)
         status, _, body = await http_response.read(
@@ -128,20 +125,6 @@
         return status, body
 
 
-async def _watch(
-    connection: _Connection, after: int, wait_s: float
-) -> view.Changes:
-    query = {
-        "prefix": "",
-        "after": str(after),
-        "wait_ms": str(int(wait_s * 1000)),
-    }
-    timeout_s = wait_s + READ_TIMEOUT_S
-    page = await connection.get(WATCH_PATH, query, timeout_s)
-    now_s = anyio.current_time()
-    return decoding.decode(page.events, page.as_of, now_s, False)
-
-
 class StoreClient:
     """Implements ``view.ViewSource``.
 
@@ -168,17 +151,14 @@
         once then adds the changes after the oldest of the pages.
 
         :raises errors.PlatformUnavailable: if the store does not answer.
-        :raises errors.PlatformHistoryLost: if the store has discarded the
-            changes after a stale listing.
+        :raises errors.PlatformHistoryLost: as ``watch`` does.
         """
         connection = _Connection(self._address)
         self._listings.append(connection)
         items: list[decoding.Item] = []
         revision = None
         last_key = ""
-        query = {"prefix": ""}
-        if allow_stale:
-            query["allow_stale"] = "1"
+        query = {"prefix": ""} | ({"allow_stale": "1"} if allow_stale else {})
         try:
             for _ in range(MAX_PAGES):
                 if last_key:
@@ -191,12 +171,11 @@
                 if not page.has_more or not page.items:
                     break
                 last_key = page.items[-1].key
-            listing = decoding.decode(
-                items, revision or 0, anyio.current_time(), True
-            )
+            now_s = anyio.current_time()
+            listing = decoding.decode(items, revision or 0, now_s, True)
             if not allow_stale:
                 return (listing,)
-            return listing, await _watch(connection, listing.revision, 0.0)
+            return listing, await self._watch(connection, revision or 0, 0.0)
         finally:
             self._listings.remove(connection)
             await connection.aclose()
@@ -210,7 +189,18 @@
         :raises errors.PlatformHistoryLost: if the store has discarded the
             changes after that revision.
         """
-        return await _watch(self._watch_connection, after, wait_s)
+        return await self._watch(self._watch_connection, after, wait_s)
+
+    @staticmethod
+    async def _watch(
+        connection: _Connection, after: int, wait_s: float
+    ) -> view.Changes:
+        wait_ms = str(int(wait_s * 1000))
+        query = {"prefix": "", "after": str(after), "wait_ms": wait_ms}
+        timeout_s = wait_s + READ_TIMEOUT_S
+        page = await connection.get(WATCH_PATH, query, timeout_s)
+        now_s = anyio.current_time()
+        return decoding.decode(page.events, page.as_of, now_s, False)
 
     async def aclose(self) -> None:
         """Close the connection that is used for watches."""
