--- a/tests/cover/test_layers.py
+++ b/tests/cover/test_layers.py
@@ -1,7 +1,10 @@
 """Tests of the dependencies between the adapter and other modules."""
 
 import ast
+import importlib.metadata
 import pathlib
+import subprocess
+import sys
 import unittest
 
 import parameterized
@@ -64,6 +67,40 @@
                     offending_files.append(str(path.relative_to(SOURCE)))
         self.assertEqual([], offending_files)
 
+    def test_the_build_installs_all_libraries_of_the_daemons(self):
+        """Guards against daemons that do not start on the platform.
+
+        The project's own environment has libraries that the deployment's
+        build does not install.
+        """
+        requirements = SOURCE.parents[1] / "deploy" / "requirements.txt"
+        script = (
+            "import sys\n"
+            "from bramleypin.internal import services\n"
+            "from bramleypin.platform import boot, packet, store\n"
+            "services.load('stream_balancer')\n"
+            "services.load('stream_agent')\n"
+            "print(*{name.partition('.')[0] for name in sys.modules})\n"
+        )
+        output = subprocess.run(
+            [sys.executable, "-c", script],
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+        loaded = {name.lower() for name in output.split()}
+        declared = {
+            requirement.partition("==")[0].lower()
+            for requirement in importlib.metadata.requires("bramleypin")
+            if "extra ==" not in requirement
+        }
+        installed = {
+            line.partition("==")[0].lower()
+            for line in requirements.read_text(encoding="utf-8").splitlines()
+        }
+        self.assertIn("xxhash", loaded)
+        self.assertEqual(set(), (loaded & declared) - installed)
+
     def test_the_adapter_stays_under_its_line_limit(self):
         """Guards against balancing decisions moving into the adapter."""
         line_count = sum(
