Keep an error in one message or timer from ending a daemon

Cause: an unexpected error in the handler of a frame, a packet or a timer left the task group, so the daemon exited and lost its flow table; the message could arrive again at once.

Change: messages and timers are handled behind a guard that counts and logs the error. A stopping balancer waits for the openings, searches and trials in progress. The metrics page lists stream.handler_errors.

Ruled out: a guard around each task (it would end the loop that receives).

Failing first: with a guard that raises, 17 of the 20 handlers ended a daemon; the test now also checks that each of the 20 failed at least once. Without the wait, the balancer's test fails.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -8,6 +8,7 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import stream_admission
 from bramleypin.internal.stream import ticker
@@ -21,10 +22,6 @@
 CALLER_ACK_TIMEOUT_S = 0.3
 # Consecutive unanswered openings after which the endpoint is reported silent.
 MAX_UNANSWERED_OPENINGS = 3
-# A lookup with a lower number is about an opening, which carries the number of
-# earlier copies (far fewer than this) in place of an acknowledgement number.
-MAX_OPENING_COPIES = 8
-
 FLOWS_TAKEN = metrics.declare(
     "stream.flows_taken", "counter", "flows", "Openings given to the endpoint."
 )
@@ -107,7 +104,7 @@
                 burst.append(await self._port.receive())
                 datagram.receive_more(self._port, MAX_BURST_DATAGRAMS, burst)
                 for data, _ in burst:
-                    self.forward_from_endpoint(data)
+                    guard.call(self._metrics, self.forward_from_endpoint, data)
                 burst.clear()
 
     def _on_offer(self, offer: frames.Offer, data: bytes, host: str) -> None:
@@ -216,14 +213,19 @@
                 continue
             now_s = anyio.current_time()
             for entry in list(self.flows.half_open_by_key.values()):
-                age_s = now_s - entry.offered_s
-                if entry.offer is not None and age_s > ENDPOINT_TIMEOUT_S:
-                    self._on_opening_failed(entry)
-                elif age_s > CALLER_ACK_TIMEOUT_S:
-                    # The caller has connected to another endpoint or given
-                    # up, so the flow no longer counts as a running request.
-                    self.flows.end_request(entry, answered=False)
-                    self.flows.half_open_by_key.pop(entry.flow)
+                guard.call(self._metrics, self._check_half_open, entry, now_s)
+
+    def _check_half_open(
+        self, entry: endpoint_flows.EndpointFlow, now_s: float
+    ) -> None:
+        age_s = now_s - entry.offered_s
+        if entry.offer is not None and age_s > ENDPOINT_TIMEOUT_S:
+            self._on_opening_failed(entry)
+        elif age_s > CALLER_ACK_TIMEOUT_S:
+            # The caller has connected to another endpoint or given up, so the
+            # flow no longer counts as a running request.
+            self.flows.end_request(entry, answered=False)
+            self.flows.half_open_by_key.pop(entry.flow)
 
     def _on_opening_failed(self, entry: endpoint_flows.EndpointFlow) -> None:
         """Pass on an opening that the endpoint left unanswered or returned."""
@@ -301,19 +303,7 @@
 
     def _on_lookup(self, query: frames.Lookup, _: bytes, host: str) -> None:
         flow = segment.Flow(*query.flow)
-        entry = self.flows.flow_by_key.get(flow)
-        if entry is None:
-            may_hold = self.flows.started_recently()
-            may_hold &= not self.flows.has_bounced(flow)
-            answer = "maybe" if may_hold else "no"
-        elif (
-            entry.established
-            or query.acknowledged < MAX_OPENING_COPIES
-            or entry.is_acknowledged_by(query.acknowledged)
-        ):
-            answer = "holds"
-        else:
-            answer = "no"
+        answer = self.flows.answer_lookup(flow, query.acknowledged)
         self._peers.send(
             host,
             frames.LookupAnswer(
@@ -396,4 +386,5 @@
     async def _purge_flows(self) -> None:
         while True:
             await anyio.sleep(PURGE_INTERVAL_S)
-            self.flows.purge(self._views.view.configuration.idle_s)
+            idle_s = self._views.view.configuration.idle_s
+            guard.call(self._metrics, self.flows.purge, idle_s)
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -10,6 +10,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import openings as openings_module
 from bramleypin.internal.stream import owners as owners_module
 from bramleypin.internal.stream import segment
@@ -114,7 +115,7 @@
                 burst.append(await self._port.receive())
                 datagram.receive_more(self._port, MAX_BURST_DATAGRAMS, burst)
                 for data, _ in burst:
-                    self.handle_packet(data)
+                    guard.call(self._metrics, self.handle_packet, data)
                 burst.clear()
 
     async def stop(self) -> None:
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -20,6 +20,9 @@
 SAMPLE_WEIGHT = 0.1
 # Time that a caller is assumed to wait for an answer if no route states one.
 DEFAULT_BUDGET_S = 10.0
+# A lookup with a lower number is about an opening, which carries the number of
+# earlier copies (far fewer than this) in place of an acknowledgement number.
+MAX_OPENING_COPIES = 8
 # Maximum number of flows that the endpoint is known not to hold.
 MAX_BOUNCED_FLOWS = 20_000
 # Stream positions wrap around at 32 bits.
@@ -132,6 +135,23 @@
         """Return whether flows older than this process may still be open."""
         return anyio.current_time() - self._started_s < self._lifetime_s
 
+    def answer_lookup(self, key: segment.Flow, acknowledged: int) -> str:
+        """Return ``holds``, ``maybe`` or ``no``: whether a flow is here.
+
+        ``acknowledged`` is the number in the caller's packet. If two endpoints
+        accepted the same opening, it shows which one the caller chose.
+        """
+        entry = self.flow_by_key.get(key)
+        if entry is None:
+            may_hold = self.started_recently() and not self.has_bounced(key)
+            return "maybe" if may_hold else "no"
+        holds = (
+            entry.established
+            or acknowledged < MAX_OPENING_COPIES
+            or entry.is_acknowledged_by(acknowledged)
+        )
+        return "holds" if holds else "no"
+
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
         is_open = entry.ended_s is None and not entry.endpoint_finished
--- /dev/null
+++ b/src/bramleypin/internal/stream/guard.py
@@ -0,0 +1,39 @@
+"""Keeps an unexpected error in one message from ending the daemon.
+
+A daemon that exits loses its flow table, and a message that it cannot handle
+may be sent again at once. Each message is handled without waiting, so an error
+leaves at most the state of one flow behind, which expires.
+"""
+
+import typing
+
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
+
+HANDLER_ERRORS = metrics.declare(
+    "stream.handler_errors",
+    "counter",
+    "messages",
+    "Messages and timers whose handler failed with an unexpected error.",
+)
+
+_log = logs.get("guard")
+
+
+def call(
+    metrics_service: typing.Any,
+    handler: typing.Callable[..., None],
+    *arguments: typing.Any,
+) -> None:
+    """Call a handler; count and log an unexpected error instead of raising."""
+    try:
+        handler(*arguments)
+    except Exception as error:
+        metrics_service.count(HANDLER_ERRORS)
+        name = getattr(handler, "__qualname__", repr(handler))
+        _log.warn_throttled(
+            f"error {name} {type(error).__name__}",
+            "handler failed",
+            handler=name,
+            error=f"{type(error).__name__}: {error}"[:200],
+        )
--- a/src/bramleypin/internal/stream/leaving.py
+++ b/src/bramleypin/internal/stream/leaving.py
@@ -19,10 +19,14 @@
 @kernel_module.service(
     "leaving_balancer",
     roles=("stream_balancer",),
-    needs=("balancer", "readiness"),
+    needs=("balancer", "openings", "owners", "trials", "readiness"),
 )
 class LeavingBalancer(kernel_module.Service):
-    """Routes packets until the fabric sends none to this balancer."""
+    """Routes packets until the fabric sends none to this balancer.
+
+    Openings that wait for a free slot send no packets for up to 0.8 s, so a
+    pause between packets does not show that nobody waits.
+    """
 
     async def drain(self) -> None:
         """Report not ready and wait until no more packets arrive.
@@ -37,12 +41,20 @@
             await anyio.sleep(POLL_INTERVAL_S)
             now_s = anyio.current_time()
             is_idle = now_s - balancer.last_packet_s > MIN_IDLE_S
+            is_idle &= not self._flows_in_progress()
             if now_s - started_s > ROTATION_REMOVAL_S and is_idle:
                 break
             if now_s - started_s > grace_s:
                 break
         _log.info("leaving", after_s=round(now_s - started_s, 3))
 
+    def _flows_in_progress(self) -> int:
+        return (
+            len(self.kernel.get("openings").opening_by_flow)
+            + len(self.kernel.get("owners").search_by_flow)
+            + len(self.kernel.get("trials").trial_by_flow)
+        )
+
 
 @kernel_module.service(
     "leaving_agent", roles=("stream_agent",), needs=("agent", "readiness")
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -8,6 +8,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import postponed
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
@@ -298,7 +299,10 @@
                 if opening.next_offer_s <= now_s
             ]
             for opening in due_openings:
-                if opening.host:
-                    self._metrics.count(OPENINGS_UNANSWERED)
-                    self._loads.mark_unresponsive(opening.host)
-                self._offer(opening)
+                guard.call(self._metrics, self._offer_again, opening)
+
+    def _offer_again(self, opening: Opening) -> None:
+        if opening.host:
+            self._metrics.count(OPENINGS_UNANSWERED)
+            self._loads.mark_unresponsive(opening.host)
+        self._offer(opening)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -13,6 +13,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
 
@@ -238,4 +239,4 @@
             now_s = anyio.current_time()
             for search in list(self.search_by_flow.values()):
                 if search.deadline_s <= now_s:
-                    self._complete(search)
+                    guard.call(self._metrics, self._complete, search)
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -7,6 +7,7 @@
 from bramleypin.internal.net import datagram
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import recent_hosts
 
 FRAMES_RECEIVED = metrics.declare(
@@ -92,7 +93,7 @@
                 self.newest_host = sender_host
         handler = self._handler_by_message.get(type(message))
         if handler is not None:
-            handler(message, packet, sender_host)
+            guard.call(self._metrics, handler, message, packet, sender_host)
 
     def recent_peer_hosts(self) -> list[str]:
         """Return the hosts that announced a view recently, newest first."""
--- a/src/bramleypin/internal/stream/trials.py
+++ b/src/bramleypin/internal/stream/trials.py
@@ -13,6 +13,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import owners
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
@@ -147,4 +148,4 @@
             now_s = anyio.current_time()
             for trial in list(self.trial_by_flow.values()):
                 if trial.deadline_s <= now_s:
-                    self._complete(trial)
+                    guard.call(self._metrics, self._complete, trial)
--- /dev/null
+++ b/tests/failures/test_stream_robustness.py
@@ -0,0 +1,137 @@
+"""Tests that one bad message or a planned stop harms no other flow."""
+
+import unittest
+from unittest import mock
+
+import anyio
+import parameterized
+
+from bramleypin.internal.stream import agent
+from bramleypin.internal.stream import balancer
+from bramleypin.internal.stream import endpoint_flows
+from bramleypin.internal.stream import leaving
+from bramleypin.internal.stream import loads
+from bramleypin.internal.stream import openings
+from bramleypin.internal.stream import owners
+from bramleypin.internal.stream import relay
+from bramleypin.internal.stream import reports
+from bramleypin.internal.stream import trials
+from bramleypin.standins import stream_fleet
+from tests.failures import test_kept_flows
+from tests.failures import test_stream_flows
+
+SERVICE = test_stream_flows.SERVICE
+# One function in each handler of a message, and in each timer.
+FAILING = (
+    (balancer.Balancer, "_on_not_held"),
+    (balancer.Balancer, "_on_taken"),
+    (balancer.Balancer, "_on_found"),
+    (openings.Openings, "_on_offer_answer"),
+    (openings.Openings, "_offer_again"),
+    (owners.OwnerLookup, "search"),
+    (owners.OwnerLookup, "_on_lookup_answer"),
+    (owners.OwnerLookup, "_complete"),
+    (trials.Trials, "begin"),
+    (trials.Trials, "record_not_held"),
+    (loads.AgentLoads, "record_report"),
+    (agent.Agent, "_on_offer"),
+    (agent.Agent, "_on_data"),
+    (agent.Agent, "_on_lookup"),
+    (agent.Agent, "_on_bounced"),
+    (endpoint_flows.EndpointFlows, "end_request"),
+    (reports.LoadReports, "_on_slot_request"),
+    (relay.Relay, "_on_query"),
+    (relay.Relay, "_on_answer"),
+    (relay.Relay, "_on_delta"),
+)
+
+
+class HandlerErrorsTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [(f"{cls.__name__}.{name}", cls, name) for cls, name in FAILING]
+    )
+    def test_no_process_ends_when_a_handler_fails(self, _, cls, name):
+        """Guards against a message that ends a daemon and all of its flows.
+
+        The handler fails for a second of traffic, with restarts, a change, a
+        silent endpoint and more requests than slots. Afterwards every daemon
+        still runs and serves.
+        """
+
+        failing = False
+        failed_calls = 0
+        original = getattr(cls, name)
+
+        def handler(*arguments, **keywords):
+            nonlocal failed_calls
+            if failing:
+                failed_calls += 1
+                raise ValueError("test")
+            return original(*arguments, **keywords)
+
+        async def scenario(fleet):
+            nonlocal failing
+            kept_flows = await test_kept_flows.start_kept_flows(fleet)
+            caller = fleet.add_caller("100.64.0.2")
+            daemons = [
+                *fleet.balancer_by_name.values(),
+                *fleet.agent_by_name.values(),
+            ]
+            await test_kept_flows.restart(fleet.agent_by_name["e0"])
+            await test_kept_flows.restart(fleet.balancer_by_name["b0"])
+            failing = True
+            fleet.store.configure(
+                stream_fleet.configuration(
+                    2, stream_fleet.route(), stream_fleet.route(port=444)
+                )
+            )
+            await test_kept_flows.request_on_each(kept_flows, 0.5)
+            fleet.endpoint_by_name["e1"].silent = True
+            await test_stream_flows.send_requests(caller, 400, 0.3)
+            failing = False
+            fleet.endpoint_by_name["e1"].silent = False
+            alive = all(daemon.process.alive for daemon in daemons)
+            await anyio.sleep(3.0)
+            outcomes = await test_stream_flows.send_requests(caller, 10, 1)
+            return alive, outcomes
+
+        with mock.patch.object(cls, name, handler):
+            alive, outcomes = test_stream_flows.run_scenario(scenario)
+        self.assertGreater(failed_calls, 0)
+        self.assertTrue(alive)
+        self.assertEqual(
+            {"answered"}, test_stream_flows.outcome_kinds(outcomes)
+        )
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_a_balancer_that_stops_serves_the_openings_that_wait(self):
+        """Guards against a stop that cuts off requests just accepted.
+
+        The opening waits for a free slot and the caller pauses between its
+        retransmissions, so no packet arrives for a while.
+        """
+
+        async def scenario(fleet):
+            caller = await test_stream_flows.start_fleet(
+                fleet, endpoints=1, balancers=1, slots=1, work_s=0.9
+            )
+            stopping = fleet.balancer_by_name["b0"]
+
+            async def send():
+                await caller.request(SERVICE, 4.0)
+
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(send)
+                    await anyio.sleep(0.1)
+                stopping.stop()
+            return len(fleet.endpoint_by_name["e0"].openings)
+
+        with mock.patch.object(leaving, "ROTATION_REMOVAL_S", 0.0):
+            accepted = test_stream_flows.run_scenario(scenario)
+        self.assertEqual(3, accepted)
+
+
+if __name__ == "__main__":
+    unittest.main()
