Take no short listing for a whole one and survive unexpected errors

Cause: a listing of the store ended silently after 64 pages, or at an empty page that was not the last, and counted as complete, so that the endpoints beyond were removed. With 50 items a page that is 3,200 of the 7,400 hosts of the target size. An error in a page of the HTTP server, in the client of the store or in a message between daemons that no handler names ended the daemon.

Change: such a listing fails and is tried again; up to 1,024 pages are read. An unexpected error of the store client counts as an outage of the store; the HTTP server closes the connection. Frames and views of peers are decoded by one function that raises InvalidFrame for any invalid input.

Failing first: five tests (two kinds of listing, read and watch of the store, a page of the HTTP server).

Measured: tests only; no decision changes while the store answers.

--- a/src/bramleypin/internal/net/http_server.py
+++ b/src/bramleypin/internal/net/http_server.py
@@ -54,6 +54,13 @@
             self._log.warn_throttled(
                 "connection", "HTTP connection failed", error=repr(error)
             )
+        except Exception as error:
+            # One request must not end the daemon and all of its flows.
+            self._log.warn_throttled(
+                "request",
+                "HTTP request failed with an unexpected error",
+                error=repr(error)[:200],
+            )
 
     async def _handle_request(
         self, connection: h11.Connection, stream: anyio.abc.ByteStream
--- a/src/bramleypin/internal/stream/exchange.py
+++ b/src/bramleypin/internal/stream/exchange.py
@@ -10,6 +10,7 @@
 from bramleypin.internal.net import environment
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
 # Views are served only some time after the start: importing the WebSocket
@@ -148,18 +149,14 @@
     async def _answer_request(self, link: environment.ControlLink) -> None:
         try:
             with anyio.move_on_after(SERVE_TIMEOUT_S):
-                data = cbor2.loads(await link.receive())
-                request = msgspec.convert(data, ViewRequest)
+                data = await link.receive()
+                request = frames.decode_body(data, ViewRequest)
                 view = self._view_manager.view
                 if view.revision > request.revision:
                     answer = build_answer(request, view, anyio.current_time())
                     body = cbor2.dumps(msgspec.to_builtins(answer))
                     await link.send(body)
-        except (
-            errors.LinkClosed,
-            cbor2.CBORDecodeError,
-            msgspec.ValidationError,
-        ) as error:
+        except (errors.LinkClosed, errors.InvalidFrame) as error:
             _log.warn_throttled(
                 "answer", "view request failed", error=str(error)[:200]
             )
@@ -200,13 +197,12 @@
                 link = await network.connect(peer_address)
                 try:
                     await link.send(cbor2.dumps(msgspec.to_builtins(request)))
-                    data = cbor2.loads(await link.receive())
+                    data = await link.receive()
                 finally:
                     with anyio.CancelScope(shield=True):
                         await link.aclose()
-            answer = msgspec.convert(data, ViewAnswer)
             view = view_from_answer(
-                answer,
+                frames.decode_body(data, ViewAnswer),
                 self._view_manager.view.configuration,
                 anyio.current_time(),
             )
@@ -215,8 +211,6 @@
             errors.PeerUnreachable,
             errors.LinkClosed,
             errors.InvalidFrame,
-            cbor2.CBORDecodeError,
-            msgspec.ValidationError,
         ) as error:
             self._peers.forget(host)
             _log.warn_throttled(
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -18,6 +18,7 @@
 MAX_FRAME_BYTES = 4_096
 
 T = typing.TypeVar("T", bound=type)
+Body = typing.TypeVar("Body", bound=msgspec.Struct)
 
 
 class Message(msgspec.Struct, array_like=True):
@@ -208,14 +209,22 @@
         raise errors.InvalidFrame(
             "bad_kind", f"unknown kind {kind} or truncated header"
         )
+    return decode_body(data[_PREFIX.size : end], cls), data[end:]
+
+
+def decode_body(data: bytes, cls: type[Body]) -> Body:
+    """Return the message of a class that CBOR data describes.
+
+    :raises errors.InvalidFrame: when the data do not describe one.
+    """
     try:
-        header = cbor2.loads(data[_PREFIX.size : end])
-        return msgspec.convert(header, cls), data[end:]
+        return msgspec.convert(cbor2.loads(data), cls)
     except (
         cbor2.CBORDecodeError,
         msgspec.ValidationError,
         ValueError,
         TypeError,
+        OverflowError,
         RecursionError,
     ) as error:
         raise errors.InvalidFrame("bad_header", str(error)[:200]) from error
--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -1,5 +1,8 @@
 """Reads the view from the metadata store."""
 
+import contextlib
+import typing
+
 import anyio
 
 from bramleypin import errors
@@ -54,6 +57,22 @@
 _log = logs.get("view")
 
 
+@contextlib.contextmanager
+def _unexpected_errors_as_unavailable() -> typing.Iterator[None]:
+    """Raise ``PlatformUnavailable`` for an error that nobody foresaw.
+
+    The reader then tries again, instead of ending the daemon.
+    """
+    try:
+        yield
+    except errors.BramleypinError:
+        raise
+    except Exception as error:
+        raise errors.PlatformUnavailable(
+            f"unexpected {type(error).__name__}: {error}"[:200]
+        ) from error
+
+
 @kernel_module.service(
     "view_reader",
     roles=("stream_balancer", "stream_agent"),
@@ -174,9 +193,9 @@
     async def _attempt_listing(self, attempts: anyio.CancelScope) -> None:
         try:
             try:
-                results = await self._source.read(allow_stale=True)
+                results = await self._read(allow_stale=True)
             except errors.PlatformHistoryLost:
-                results = await self._source.read()
+                results = await self._read()
         except errors.PlatformUnavailable as error:
             self._metrics.count(STORE_CALLS_FAILED)
             if not self.store_failing:
@@ -193,12 +212,19 @@
 
     async def _next_changes(self) -> tuple[view_module.Changes, ...]:
         if not self._listing_complete:
-            return await self._source.read()
+            return await self._read()
         revision = self._view_manager.view.revision
         wait_s = WATCH_WAIT_S
         if self._relay.has_followers():
             wait_s = min(wait_s, self._relay.watch_wait_s)
-        return (await self._source.watch(revision, wait_s),)
+        with _unexpected_errors_as_unavailable():
+            return (await self._source.watch(revision, wait_s),)
+
+    async def _read(
+        self, allow_stale: bool = False
+    ) -> tuple[view_module.Changes, ...]:
+        with _unexpected_errors_as_unavailable():
+            return await self._source.read(allow_stale)
 
     async def _remove_lapsed_periodically(self) -> None:
         while True:
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -24,9 +24,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # A page holds about 1 MB of data; base64 adds a third.
 MAX_BODY_BYTES = 4 * 1024 * 1024
-# Maximum number of pages in a listing, each of at most 500 items, in case the
-# store never reports a last page.
-MAX_PAGES = 64
+# Maximum number of pages in a listing, in case the store never reports a last
+# page. A page may hold as few as 50 items, and the target size is 7,400 hosts.
+MAX_PAGES = 1_024
 
 
 class _Page(msgspec.Struct):
@@ -157,12 +157,9 @@
         self._listings.append(connection)
         items: list[decoding.Item] = []
         revision = None
-        last_key = ""
         query = {"prefix": ""} | ({"allow_stale": "1"} if allow_stale else {})
         try:
             for _ in range(MAX_PAGES):
-                if last_key:
-                    query["after"] = last_key
                 page = await connection.get(RANGE_PATH, query, READ_TIMEOUT_S)
                 # Pages are not a snapshot, and a stale page may be older than
                 # the one before. A watch from the oldest reports all changes.
@@ -170,7 +167,11 @@
                 items += page.items
                 if not page.has_more or not page.items:
                     break
-                last_key = page.items[-1].key
+                query["after"] = page.items[-1].key
+            if page.has_more:
+                # Items that are not listed would count as removed.
+                message = f"{RANGE_PATH}: the listing has no last page"
+                raise errors.PlatformUnavailable(message)
             now_s = anyio.current_time()
             listing = decoding.decode(items, revision or 0, now_s, True)
             if not allow_stale:
--- a/tests/cover/test_metrics_http.py
+++ b/tests/cover/test_metrics_http.py
@@ -124,6 +124,40 @@
 
         return anyio.run(main)
 
+    def test_an_error_in_a_page_closes_only_its_connection(self):
+        """Guards against a request that ends the daemon."""
+
+        async def main():
+            def page(path: bytes) -> http_server.Answer:
+                if path == b"/bad":
+                    raise ValueError("test")
+                return http_server.Answer(200, path)
+
+            server = http_server.HttpServer(page, "test")
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.listeners[0].extra(
+                anyio.abc.SocketAttribute.local_port
+            )
+            received = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, server.serve)
+                for path in (b"/bad", b"/x"):
+                    stream = await anyio.connect_tcp("127.0.0.1", port)
+                    async with stream:
+                        await stream.send(
+                            b"GET " + path + b" HTTP/1.1\r\nHost: h\r\n\r\n"
+                        )
+                        try:
+                            received.append(await stream.receive())
+                        except anyio.EndOfStream:
+                            received.append(b"")
+                tasks.cancel_scope.cancel()
+            return received
+
+        bad, good = anyio.run(main)
+        self.assertEqual(b"", bad)
+        self.assertTrue(good.startswith(b"HTTP/1.1 200"))
+
     @parameterized.parameterized.expand([("one", 1), ("two", 2)])
     def test_each_request_of_a_connection_is_answered(self, _, count):
         """Guards against a connection that is closed after one request."""
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import anyio
+import msgspec
 import parameterized
 
 from bramleypin import errors
@@ -312,6 +313,29 @@
             self.assertIsInstance(result, errors.PlatformUnavailable)
         self.assertEqual(6, results[6].revision)
 
+    @parameterized.parameterized.expand(
+        [
+            ("empty_page", []),
+            ("no_last_page", [{"key": "op/other", "value": ""}]),
+        ]
+    )
+    def test_a_listing_without_an_end_is_not_taken_for_a_whole_one(
+        self, _, items
+    ):
+        """Guards against endpoints that a short listing removes."""
+        page = {"as_of": 3, "items": items, "has_more": True}
+
+        async def get(connection, path, query, timeout_s):
+            return msgspec.convert(page, store._Page)
+
+        async def main():
+            client = store.StoreClient(address.Address("127.0.0.1", 1))
+            with self.assertRaises(errors.PlatformUnavailable):
+                await client.read()
+
+        with mock.patch.object(store._Connection, "get", get):
+            anyio.run(main)
+
     def test_a_slow_response_is_read_to_its_end(self):
         """Guards against timeouts of long listings on a slow link.
 
--- a/tests/failures/test_stream_robustness.py
+++ b/tests/failures/test_stream_robustness.py
@@ -104,6 +104,49 @@
         )
 
 
+class StoreErrorsTest(unittest.TestCase):
+    @parameterized.parameterized.expand([("read",), ("watch",)])
+    def test_no_process_ends_when_the_store_client_fails(self, name):
+        """Guards against an answer of the store that ends a daemon.
+
+        Daemons that start meanwhile and those that run read the store again
+        later and see the change.
+        """
+        original = getattr(stream_fleet.StoreClient, name)
+        failing = False
+
+        async def call(client, *arguments, **keywords):
+            if failing:
+                raise ValueError("test")
+            return await original(client, *arguments, **keywords)
+
+        async def scenario(fleet):
+            nonlocal failing
+            await test_stream_flows.start_fleet(fleet)
+            failing = True
+            await test_kept_flows.restart(fleet.balancer_by_name["b0"])
+            fleet.store.forget_history()
+            fleet.store.configure(
+                stream_fleet.configuration(2, stream_fleet.route())
+            )
+            await anyio.sleep(1.0)
+            failing = False
+            await anyio.sleep(3.0)
+            daemons = [
+                *fleet.balancer_by_name.values(),
+                *fleet.agent_by_name.values(),
+            ]
+            return [
+                daemon.kernel.get("view").view.configuration.version
+                for daemon in daemons
+                if daemon.process.alive
+            ]
+
+        with mock.patch.object(stream_fleet.StoreClient, name, call):
+            versions = test_stream_flows.run_scenario(scenario)
+        self.assertEqual([2] * 5, versions)
+
+
 class PlannedStopTest(unittest.TestCase):
     def test_a_balancer_that_stops_serves_the_openings_that_wait(self):
         """Guards against a stop that cuts off requests just accepted.
