Reset lost flows at once after a restart of the whole deployment

Packets of open flows that arrived before a view was loaded were dropped, and waited as long.

Change: agents tell their uptime when asked for a flow. If every agent of the view answered and all started less than 4 s ago, a flow of an idempotent route is reset at once: a missing endpoint's machine has restarted too, and its request may be repeated. Other lost flows are searched for again as soon as registrations have settled. The last packet of an open flow is kept until the view is loaded.

Failing first: a lost flow after a restart of all, and a packet sent before the view is loaded; with an agent that kept running, and for requests that may run only once, nothing is reset early.

--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -52,6 +52,7 @@
         "bramleypin.internal.stream.candidates",
         "bramleypin.internal.stream.loads",
         "bramleypin.internal.stream.openings",
+        "bramleypin.internal.stream.lost_flows",
         "bramleypin.internal.stream.owners",
         "bramleypin.internal.stream.trials",
         "bramleypin.internal.stream.balancer",
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -311,6 +311,7 @@
                 self.settings.host,
                 answer,
                 self._views.view.revision,
+                round(self.flows.uptime_s(), 3),
             ),
         )
 
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -11,6 +11,7 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
+from bramleypin.internal.stream import lost_flows as lost_flows_module
 from bramleypin.internal.stream import openings as openings_module
 from bramleypin.internal.stream import owners as owners_module
 from bramleypin.internal.stream import segment
@@ -19,8 +20,10 @@
 MAX_BURST_DATAGRAMS = 64
 PURGE_INTERVAL_S = 1.0
 MAX_FLOWS = 200_000
-# Maximum number of openings that are queued until a view is loaded.
-MAX_EARLY_OPENINGS = 2_000
+# Maximum number of flows whose packets are queued until a view is loaded.
+MAX_EARLY_FLOWS = 2_000
+# Pause between the searches for queued packets, which all begin at once.
+EARLY_SEARCH_PAUSE_S = 0.001
 
 PACKETS_RECEIVED = metrics.declare(
     "stream.packets_received", "counter", "packets", "Packets of callers."
@@ -68,6 +71,7 @@
         "openings",
         "owners",
         "trials",
+        "lost_flows",
         "metrics",
     ),
 )
@@ -93,6 +97,11 @@
         self._trials: trials_module.Trials = kernel.get("trials")
         self._trials.on_held = self._on_held
         self._trials.on_held_nowhere = self._on_held_nowhere
+        self._lost_flows: lost_flows_module.LostFlows = kernel.get(
+            "lost_flows"
+        )
+        self._lost_flows.on_reset = self._reset_lost_flow
+        self._lost_flows.on_retry = self._route_packet
         self._peers.set_handler(frames.FlowNotHeld, self._on_not_held)
         self.last_packet_s = float("-inf")
         self._early_by_flow: dict[
@@ -109,7 +118,7 @@
         """Route callers' packets until the port is closed."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._purge_idle_flows)
-            tasks.start_soon(self._open_early_flows)
+            tasks.start_soon(self._route_early_packets)
             burst: list[tuple[bytes, tuple[str, int]]] = []
             while True:
                 burst.append(await self._port.receive())
@@ -129,8 +138,12 @@
             self._metrics.count(PACKETS_MALFORMED)
             return
         self._metrics.count(PACKETS_RECEIVED)
-        now_s = self.last_packet_s = anyio.current_time()
-        self._view_manager.last_use_s = now_s
+        self.last_packet_s = anyio.current_time()
+        self._view_manager.last_use_s = self.last_packet_s
+        self._route_packet(packet)
+
+    def _route_packet(self, packet: segment.Segment) -> None:
+        now_s = anyio.current_time()
         flow = packet.flow_from_caller()
         configuration = self._view_manager.view.configuration
         route = configuration.route_by_address.get(packet.destination)
@@ -168,12 +181,7 @@
     ) -> None:
         if not self._view_manager.view.loaded:
             self._metrics.count(PACKETS_NO_VIEW)
-            if (
-                packet.opening
-                and len(self._early_by_flow) < MAX_EARLY_OPENINGS
-            ):
-                now_s = anyio.current_time()
-                self._early_by_flow.setdefault(flow, (now_s, packet))
+            self._queue_early(flow, packet)
             return
         self._metrics.count(PACKETS_NO_ROUTE)
         if packet.rst:
@@ -182,6 +190,16 @@
         if packet.opening:
             self._reset_flow(flow, "no route")
 
+    def _queue_early(
+        self, flow: segment.Flow, packet: segment.Segment
+    ) -> None:
+        """Keep a flow's first opening or, if it is open, its last packet."""
+        if packet.opening and flow in self._early_by_flow:
+            return
+        if len(self._early_by_flow) < MAX_EARLY_FLOWS:
+            now_s = anyio.current_time()
+            self._early_by_flow[flow] = (now_s, packet)
+
     def _forward(self, owner: FlowOwner, packet: segment.Segment) -> None:
         self._peers.send(owner.host, frames.Data(confirmed=True), packet.raw)
 
@@ -214,14 +232,12 @@
 
     def _on_held_nowhere(self, trial: trials_module.Trial) -> None:
         self._owners.delay_search(trial.search.flow)
-        tried_all = len(trial.search.possible_hosts) <= trials_module.MAX_HOSTS
-        if trial.search.settled and tried_all:
-            self._reset_lost_flow(trial.search, trial.waiting_packets)
+        if len(trial.search.possible_hosts) <= trials_module.MAX_HOSTS:
+            self._lost_flows.record(trial.search, trial.waiting_packets[-1])
 
     def _on_lost(self, search: owners_module.OwnerSearch) -> None:
         if search.opening is None:
-            if search.settled:
-                self._reset_lost_flow(search, search.waiting_packets)
+            self._lost_flows.record(search, search.waiting_packets[-1])
             return
         configuration = self._view_manager.view.configuration
         route = configuration.route_by_address.get(search.opening.destination)
@@ -229,27 +245,9 @@
             arrived_s = anyio.current_time()
             self._openings.open_flow(search.opening, route, arrived_s)
 
-    def _reset_lost_flow(
-        self,
-        search: owners_module.OwnerSearch,
-        packets: list[segment.Segment],
-    ) -> None:
-        """Reset a flow that no endpoint holds, so that its caller retries.
-
-        Does nothing while an endpoint may be missing from the view: it could
-        hold the flow.
-        """
-        view_manager = self._view_manager
-        packet = packets[-1]
-        services = view_manager.services_for_address(packet.destination)
-        if (
-            packet.rst
-            or view_manager.may_miss_registrations()
-            or search.newest_revision > view_manager.view.revision
-            or not all(map(view_manager.registrations_settled, services))
-        ):
-            return
-        self._reset_flow(search.flow, "no endpoint holds it", packet)
+    def _reset_lost_flow(self, packet: segment.Segment) -> None:
+        flow = packet.flow_from_caller()
+        self._reset_flow(flow, "no endpoint holds it", packet)
 
     def _on_not_held(
         self, message: frames.FlowNotHeld, data: bytes, host: str
@@ -301,15 +299,23 @@
         reset = self._codec.reset(flow, sequence)
         self._peers.send_raw(reset, caller_address)
 
-    async def _open_early_flows(self) -> None:
-        """Open the flows that were requested before a view was loaded."""
+    async def _route_early_packets(self) -> None:
+        """Route the packets that arrived before a view was loaded."""
         while not self._view_manager.view.loaded:
             await self._view_manager.wait_for_change()
+        early, self._early_by_flow = self._early_by_flow, {}
         oldest_s = anyio.current_time() - openings_module.MAX_OPENING_AGE_S
-        early_openings, self._early_by_flow = self._early_by_flow, {}
-        for arrived_s, packet in early_openings.values():
-            if arrived_s > oldest_s:
-                self._open_early_flow(packet, arrived_s)
+        open_flow_packets = []
+        for arrived_s, packet in early.values():
+            if not packet.opening:
+                open_flow_packets.append(packet)
+            elif arrived_s > oldest_s:
+                guard.call(
+                    self._metrics, self._open_early_flow, packet, arrived_s
+                )
+        for packet in open_flow_packets:
+            guard.call(self._metrics, self._route_packet, packet)
+            await anyio.sleep(EARLY_SEARCH_PAUSE_S)
 
     def _open_early_flow(
         self, packet: segment.Segment, arrived_s: float
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -133,7 +133,11 @@
 
     def started_recently(self) -> bool:
         """Return whether flows older than this process may still be open."""
-        return anyio.current_time() - self._started_s < self._lifetime_s
+        return self.uptime_s() < self._lifetime_s
+
+    def uptime_s(self) -> float:
+        """Return the time since this process started, in seconds."""
+        return anyio.current_time() - self._started_s
 
     def answer_lookup(self, key: segment.Flow, acknowledged: int) -> str:
         """Return ``holds``, ``maybe`` or ``no``: whether a flow is here.
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -6,6 +6,7 @@
 an endpoint follows unchanged.
 """
 
+import math
 import struct
 import typing
 
@@ -153,13 +154,15 @@
     """The answer to a ``Lookup``: ``holds``, ``maybe`` or ``no``.
 
     A recently started agent answers ``maybe``, because its endpoint may hold
-    a flow from before the start. ``revision`` is that of the agent's view.
+    a flow from before the start. ``revision`` is that of the agent's view,
+    ``uptime_s`` the time since the agent started.
     """
 
     lookup: int
     host: str
     answer: str
     revision: int = -1
+    uptime_s: float = math.inf
 
     def view_revision(self) -> int:
         """Return the revision of the sender's view."""
--- /dev/null
+++ b/src/bramleypin/internal/stream/lost_flows.py
@@ -0,0 +1,115 @@
+"""Decides when a flow that no endpoint holds is reset.
+
+A reset lets the caller open another flow at once. Until it is certain that
+no endpoint is missing from the view, a flow is kept and searched for again.
+"""
+
+import dataclasses
+import heapq
+import typing
+
+import anyio
+
+from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.stream import guard
+from bramleypin.internal.stream import owners
+from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import ticker
+
+TICK_INTERVAL_S = 0.01
+# Bounds the searches that start at the same time when registrations settle.
+MAX_SEARCHES_PER_TICK = 8
+# Delay after which a view that is older than an agent's has caught up.
+NEWER_VIEW_DELAY_S = 0.2
+# Callers transmit a packet again within 1.6 s, which starts a search as well.
+MAX_WAIT_S = 3.0
+MAX_FLOWS = 5_000
+
+
+@dataclasses.dataclass(slots=True)
+class LostFlow:
+    """A flow that was not found; ``packet`` is its caller's latest one."""
+
+    packet: segment.Segment
+    search_s: float
+    expires_s: float
+
+
+@kernel_module.service(
+    "lost_flows", roles=("stream_balancer",), needs=("view", "metrics")
+)
+class LostFlows(kernel_module.Service):
+    """Resets lost flows, or searches for them again once that may help.
+
+    The balancer sets the callbacks ``on_reset(packet)`` and
+    ``on_retry(packet)``.
+    """
+
+    on_reset: typing.Callable[[segment.Segment], None]
+    on_retry: typing.Callable[[segment.Segment], None]
+
+    def __init__(self, kernel: kernel_module.Kernel):
+        super().__init__(kernel)
+        self._view_manager = kernel.get("view")
+        self._metrics = kernel.get("metrics")
+        self._lost_by_flow: dict[segment.Flow, LostFlow] = {}
+        # Times of the searches, as a heap; those of found flows stay in it.
+        self._searches: list[tuple[float, segment.Flow]] = []
+        self._ticker = ticker.Ticker(TICK_INTERVAL_S)
+
+    def record(
+        self, search: owners.OwnerSearch, packet: segment.Segment
+    ) -> None:
+        """Reset the flow of a search without a result, or keep it for later.
+
+        ``packet`` is its caller's latest packet.
+        """
+        lost = self._lost_by_flow.pop(search.flow, None)
+        if packet.rst or not search.settled:
+            return
+        now_s = anyio.current_time()
+        delay_s = self._delay_s(search, packet)
+        if delay_s <= 0:
+            self.on_reset(packet)
+            return
+        search_s = now_s + delay_s
+        expires_s = lost.expires_s if lost else now_s + MAX_WAIT_S
+        if search_s < expires_s and len(self._searches) < MAX_FLOWS:
+            self._lost_by_flow[search.flow] = LostFlow(
+                packet, search_s, expires_s
+            )
+            heapq.heappush(self._searches, (search_s, search.flow))
+            self._ticker.wake()
+
+    def _delay_s(
+        self, search: owners.OwnerSearch, packet: segment.Segment
+    ) -> float:
+        """Return the time until a reset may be allowed; 0 if it is now."""
+        view_manager = self._view_manager
+        if search.newest_revision > view_manager.view.revision:
+            return NEWER_VIEW_DELAY_S
+        configuration = view_manager.view.configuration
+        route = configuration.route_by_address.get(packet.destination)
+        # If an endpoint is missing from the view after a restart of the whole
+        # deployment, its machine has most likely restarted too. A caller can
+        # repeat a request of an idempotent route if this is wrong.
+        if search.finds_restart and route is not None and route.idempotent:
+            return 0.0
+        return view_manager.registrations_settle_in_s()
+
+    async def run(self) -> None:
+        """Search for lost flows again when their time has come."""
+        while True:
+            await self._ticker.wait(self._searches)
+            now_s = anyio.current_time()
+            for _ in range(MAX_SEARCHES_PER_TICK):
+                if not self._searches or self._searches[0][0] > now_s:
+                    break
+                search_s, flow = heapq.heappop(self._searches)
+                guard.call(self._metrics, self._retry, flow, search_s)
+
+    def _retry(self, flow: segment.Flow, search_s: float) -> None:
+        lost = self._lost_by_flow.get(flow)
+        # The entry is kept during the search, for its expiry.
+        if lost is not None and lost.search_s == search_s:
+            self.on_retry(lost.packet)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -26,6 +26,10 @@
 # retransmitted packet starts one.
 RETRY_DELAY_S = 0.15
 MAX_DELAYED_FLOWS = 10_000
+# The deployment has just restarted if every agent that was asked, and at least
+# this number of agents, started less than this time ago.
+RESTART_WINDOW_S = 4.0
+MIN_RESTARTED_AGENTS = 3
 # Bounds the frames of one search in a large fleet. A search that leaves agents
 # out never shows that a flow is lost.
 MAX_ASKED_HOSTS = 200
@@ -55,7 +59,8 @@
     were asked. ``opening`` is the flow's latest opening packet, if any
     arrived, and ``waiting_packets`` are its other packets. The agents in
     ``possible_hosts`` cannot rule out that they hold the flow.
-    ``newest_revision`` is the highest revision of the answering agents' views.
+    ``newest_revision`` is the highest revision of the answering agents' views,
+    ``longest_uptime_s`` the time since the first of these agents started.
     """
 
     number: int
@@ -68,6 +73,7 @@
     possible_hosts: list[str] = dataclasses.field(default_factory=list)
     answer_count: int = 0
     newest_revision: int = -1
+    longest_uptime_s: float = 0.0
     acknowledged: int = 0
     asked_all: bool = False
 
@@ -76,6 +82,15 @@
         """Whether all agents that may hold the flow have answered."""
         return self.asked_all and self.all_answered
 
+    @property
+    def finds_restart(self) -> bool:
+        """Whether the answers show that all agents have just restarted."""
+        return (
+            self.settled
+            and self.answer_count >= MIN_RESTARTED_AGENTS
+            and self.longest_uptime_s < RESTART_WINDOW_S
+        )
+
     @property
     def all_answered(self) -> bool:
         """Whether all agents that were asked have answered."""
@@ -193,6 +208,9 @@
             self.on_found(search, host)
             return
         search.newest_revision = max(search.newest_revision, message.revision)
+        search.longest_uptime_s = max(
+            search.longest_uptime_s, message.uptime_s
+        )
         if message.answer == "maybe":
             search.possible_hosts.append(host)
         if search.all_answered:
--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -186,12 +186,16 @@
         grace_s = self.kernel.settings.bounds.reregistration_s
         self._listing_incomplete_until_s = anyio.current_time() + grace_s
 
-    def may_miss_registrations(self) -> bool:
-        """Return whether live endpoints may be missing from the view."""
-        now_s = anyio.current_time()
-        return now_s < max(
+    def registrations_settle_in_s(self) -> float:
+        """Return the time for which live endpoints may be missing, in s."""
+        settled_s = max(
             self._no_removal_until_s, self._listing_incomplete_until_s
         )
+        return max(0.0, settled_s - anyio.current_time())
+
+    def may_miss_registrations(self) -> bool:
+        """Return whether live endpoints may be missing from the view."""
+        return self.registrations_settle_in_s() > 0
 
     def registrations_settled(self, service: str) -> bool:
         """Return whether all live endpoints of a service are known.
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -36,6 +36,7 @@
     priority: int = 1,
     latency_objective_s: float = 0.25,
     timeout_s: float = 1.5,
+    idempotent: bool = True,
 ) -> view.Route:
     """Return a route from a port of the test address to a service."""
     return view.Route(
@@ -43,7 +44,7 @@
         host=SERVICE_HOST,
         port=port,
         weight_by_service=((service, 1.0),),
-        idempotent=True,
+        idempotent=idempotent,
         timeout_s=timeout_s,
         latency_objective_s=latency_objective_s,
         priority=priority,
--- a/tests/failures/test_kept_flows.py
+++ b/tests/failures/test_kept_flows.py
@@ -128,6 +128,76 @@
         self.assertEqual({"reset"}, test_stream_flows.outcome_kinds(outcomes))
         self.assertLess(max(item.seconds for item in outcomes), 0.25)
 
+    @parameterized.parameterized.expand(
+        [
+            ("all_restarted", True, 0, {"reset"}),
+            # The agent that kept running resets the flows that it knows.
+            ("an_agent_kept_running", True, 1, {"reset", "silence"}),
+            ("requests_may_run_once_only", False, 0, {"silence"}),
+        ]
+    )
+    def test_a_lost_flow_is_reset_before_all_registrations_are_back(
+        self, _, idempotent, running_agents, expected
+    ):
+        """Guards against requests that fail while registrations are awaited.
+
+        In the first two seconds an endpoint may be missing from the view. If
+        every agent has just restarted, its agent has as well, so the flow is
+        almost certainly lost, and a request that may be repeated is.
+        """
+
+        async def scenario(fleet):
+            kept_flows = await start_kept_flows(fleet, endpoints=6)
+            fleet.store.configure(
+                stream_fleet.configuration(
+                    2, stream_fleet.route(idempotent=idempotent)
+                )
+            )
+            await anyio.sleep(4.0)
+            for endpoint in fleet.endpoint_by_name.values():
+                endpoint.crash()
+            agents = list(fleet.agent_by_name.values())
+            await restart(
+                *agents[running_agents:],
+                *fleet.balancer_by_name.values(),
+            )
+            await anyio.sleep(0.3)
+            return await request_on_each(kept_flows, 1.0)
+
+        outcomes = test_stream_flows.run_scenario(scenario)
+        self.assertEqual(expected, test_stream_flows.outcome_kinds(outcomes))
+
+    def test_a_packet_sent_before_the_view_is_loaded_is_not_lost(self):
+        """Guards against waiting for a retransmission after a power loss.
+
+        The store answers again between two transmissions, 1.6 s apart.
+        """
+
+        async def scenario(fleet):
+            kept_flows = await start_kept_flows(fleet, endpoints=6)
+            await anyio.sleep(4.0)
+            for endpoint in fleet.endpoint_by_name.values():
+                endpoint.crash()
+            fleet.store.down = True
+            await restart(
+                *fleet.agent_by_name.values(),
+                *fleet.balancer_by_name.values(),
+            )
+            outcomes = []
+
+            async def send():
+                outcomes.extend(await request_on_each(kept_flows))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send)
+                await anyio.sleep(1.5)
+                fleet.store.down = False
+            return outcomes
+
+        outcomes = test_stream_flows.run_scenario(scenario)
+        self.assertEqual({"reset"}, test_stream_flows.outcome_kinds(outcomes))
+        self.assertLess(max(item.seconds for item in outcomes), 2.5)
+
     def test_no_flow_breaks_while_the_agent_of_its_endpoint_is_away(self):
         """Guards against trials at other endpoints in place of waiting.
 
