Drop malformed messages in the simulated agent, as the real one does

Cause: a balancer forwards a datagram of a cached flow without decoding it; the agent checks it. The real agent counts and drops the message; only the stand-in was wrong.

The check that agents take only valid messages stays, and a malformed one may arrive only by the route that was cached before the first input.

--- a/src/bramleypin/standins/simple_agent.py
+++ b/src/bramleypin/standins/simple_agent.py
@@ -14,12 +14,21 @@
 from bramleypin.internal.wire import pin as pin_module
 
 
+def _is_coap(payload: bytes) -> bool:
+    try:
+        coap.decode(payload)
+    except errors.InvalidFrame:
+        return False
+    return True
+
+
 class SimpleAgent:
     """Owns flows and answers requests itself, without an endpoint.
 
     ``received`` holds the FORWARD frames that the agent handled as owner, with
     their payloads. It does not hold rejected frames or frames that were passed
-    to another owner.
+    to another owner. ``malformed_payloads`` holds payloads that are no CoAP
+    message.
     """
 
     def __init__(
@@ -44,6 +53,7 @@
         self.flow_id_by_key: dict[bytes, int] = {}
         self._chosen_owner_by_key: dict[bytes, address.Address] = {}
         self.received: list[tuple[frames.Forward, bytes]] = []
+        self.malformed_payloads: list[bytes] = []
         self.probes = 0
 
     async def start(self) -> None:
@@ -123,6 +133,9 @@
                 )
                 self._send(relayed_frame, owner, payload)
                 return
+        if self.protocol == "coap" and not _is_coap(payload):
+            self.malformed_payloads.append(payload)
+            return
         self.received.append((forward, payload))
         if not forward.pinned:
             self.flow_id_by_key.setdefault(key, len(self.flow_id_by_key) + 1)
--- a/tests/fuzz/test_ingress.py
+++ b/tests/fuzz/test_ingress.py
@@ -14,6 +14,8 @@
 from bramleypin.standins import balancer_bed
 
 HEADER = proxy_header.encode(balancer_bed.CALLER, balancer_bed.SERVICE_ADDRESS)
+# A CoAP message whose option is no valid UTF-8 text.
+INVALID_OPTION = HEADER + bytes.fromhex("40000000300180")
 MAX_UDP_PAYLOAD_BYTES = 65_507
 MAX_EXAMPLES = 80
 
@@ -111,6 +113,7 @@
 class TestArbitraryInput(unittest.TestCase):
     @settings
     @hypothesis.given(_ingress_input)
+    @hypothesis.example([INVALID_OPTION, INVALID_OPTION])
     def test_arbitrary_ingress_input_does_not_stop_the_balancer(self, inputs):
         """Guards against datagrams by which any sender stops a balancer."""
 
@@ -128,6 +131,11 @@
                 for forward, payload in agent.received:
                     self.assertEqual("scheduler", forward.service)
                     coap.decode(payload)
+                # A cached route is used without a look at the message. Only
+                # the first input can find one.
+                for payload in agent.malformed_payloads:
+                    self.assertEqual(HEADER + payload, inputs[0])
+                self.assertLessEqual(len(agent.malformed_payloads), 1)
             self.assertIsNotNone(await bed.ask(0, bed.request()))
 
         balancer_bed.run(scenario)
