Bound the load reports of an agent, whatever the fleet

Cause: every agent sent a changed report to up to 32 balancers ten times a second.

Change: within 0.1 s only the eight balancers that offered an opening in the last second are told, and only when the endpoint becomes full or free, or its queue is full. All recent senders get a changed report every 0.8 s, which is within the age (1 s) up to which balancers use one. One encoding serves all receivers, of owner searches too.

Ruled out: fewer recipients alone, since on a small deployment all balancers offer; a longer interval for all, since a balancer then offers to full endpoints for up to a second.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -111,7 +111,7 @@
         packet = self._codec.decode(data)
         if packet is None or not packet.opening:
             return
-        self._reports.record_balancer(offer.origin_host)
+        self._reports.record_offer(offer.origin_host)
         self._views.last_use_s = anyio.current_time()
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -164,9 +164,8 @@
         message = frames.Lookup(
             search.number, search.flow, search.acknowledged
         )
-        for host in hosts:
-            search.asked_hosts[host] = None
-            self._peers.send(host, message)
+        search.asked_hosts |= dict.fromkeys(hosts)
+        self._peers.send_to_all(hosts, message)
 
     def _widen(self, search: OwnerSearch) -> bool:
         """Ask the agents that were not asked before; false if there is none.
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -64,6 +64,14 @@
         data = frames.encode(message, packet)
         self._port.send(data, (host, self._port_number))
 
+    def send_to_all(
+        self, hosts: typing.Iterable[str], message: frames.Message
+    ) -> None:
+        """Send the same message to the daemons on several hosts."""
+        data = frames.encode(message)
+        for host in hosts:
+            self._port.send(data, (host, self._port_number))
+
     def send_raw(self, data: bytes, destination: tuple[str, int]) -> None:
         """Send a packet without a frame, e.g. to a caller."""
         self._port.send(data, destination)
--- a/src/bramleypin/internal/stream/reports.py
+++ b/src/bramleypin/internal/stream/reports.py
@@ -8,6 +8,12 @@
 from bramleypin.internal.stream import stream_admission
 
 REPORT_INTERVAL_S = 0.1
+# Balancers that offered an opening within this time are told at once when the
+# endpoint has no free slot any more, or has one again.
+OFFER_AGE_S = 1.0
+# The others are told of a changed load in this interval. A balancer ignores
+# reports that are older than 1 s.
+REFRESH_INTERVAL_S = 0.8
 # Time for which a balancer is told of a free slot that it asked for. It asks
 # again while its openings wait.
 SLOT_REQUEST_AGE_S = 0.3
@@ -19,6 +25,17 @@
 # Large fleets have hundreds of balancers; an agent reports only to the most
 # recent senders.
 MAX_RECIPIENTS = 32
+MAX_OFFERING_RECIPIENTS = 8
+
+
+def _capacity(report: frames.Report) -> tuple[bool, bool, bool, str]:
+    """Return what decides whether an endpoint is offered a new flow."""
+    return (
+        report.running_requests < report.slots,
+        report.queue_full,
+        report.cold_allowance == 0,
+        report.state,
+    )
 
 
 @kernel_module.service(
@@ -27,7 +44,11 @@
     needs=("view", "peer_port", "stream_admission"),
 )
 class LoadReports(kernel_module.Service):
-    """Sends load reports to the balancers that use this agent."""
+    """Sends load reports to the balancers that use this agent.
+
+    The number of reports a second is bounded, whatever the number of
+    balancers and requests.
+    """
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
@@ -35,7 +56,10 @@
         self._peers = kernel.get("peer_port")
         self._admission = kernel.get("stream_admission")
         self._recipients = recent_hosts.RecentHosts(RECIPIENT_TIMEOUT_S)
+        self._offering = recent_hosts.RecentHosts(OFFER_AGE_S)
         self._last_report: frames.Report | None = None
+        self._refreshed_report: frames.Report | None = None
+        self._refreshed_s = float("-inf")
         self._waiting = recent_hosts.RecentHosts(SLOT_REQUEST_AGE_S)
         self._slot_freed = anyio.Event()
         self._admission.flows.on_request_end = self._on_request_end
@@ -45,6 +69,11 @@
         """Record that a balancer has sent a frame."""
         self._recipients.record(host)
 
+    def record_offer(self, host: str) -> None:
+        """Record that a balancer has offered an opening."""
+        self._recipients.record(host)
+        self._offering.record(host)
+
     def current_report(self) -> frames.Report:
         """Return a report of the endpoint's current load and state."""
         flows = self._admission.flows
@@ -70,9 +99,20 @@
             tasks.start_soon(self._offer_free_slots)
             while True:
                 await anyio.sleep(REPORT_INTERVAL_S)
-                report = self.current_report()
-                if report != self._last_report or report.queue_full:
-                    self.send(report)
+                self._report_changes(anyio.current_time())
+
+    def _report_changes(self, now_s: float) -> None:
+        report = self.current_report()
+        if now_s - self._refreshed_s >= REFRESH_INTERVAL_S:
+            if report != self._refreshed_report:
+                self.send(report)
+        elif (
+            report.queue_full
+            or self._last_report is None
+            or _capacity(report) != _capacity(self._last_report)
+        ):
+            hosts = self._offering.newest_first()
+            self._send_to(hosts[:MAX_OFFERING_RECIPIENTS], report)
 
     def _on_slot_request(
         self, message: frames.SlotRequest, _: bytes, host: str
@@ -107,7 +147,11 @@
 
     def send(self, report: frames.Report) -> None:
         """Send a report to the balancers that sent frames recently."""
+        self._refreshed_report = report
+        self._refreshed_s = anyio.current_time()
+        hosts = self._recipients.newest_first()
+        self._send_to(hosts[:MAX_RECIPIENTS], report)
+
+    def _send_to(self, hosts: list[str], report: frames.Report) -> None:
         self._last_report = report
-        message = frames.LoadReport(report)
-        for host in self._recipients.newest_first()[:MAX_RECIPIENTS]:
-            self._peers.send(host, message)
+        self._peers.send_to_all(hosts, frames.LoadReport(report))
