Keep late answers of an earlier flow and copies of answers apart

Cause, found by reading for the operators' findings: an agent sent on all that its endpoint sent for a flow's addresses and ports. Data of an ended flow could reach the caller that used the port again, where only the caller's own check of positions stood against it. In a flow with many requests, a second copy of an answer ended the request that ran by then, so an endpoint with a busy slot was reported as free.

Change: the position of the endpoint's data is recorded as that of the caller's is. Data more than 76,800 bytes from it is dropped and counted in a flow whose start this process has seen; a copy goes on to the caller but ends no request.

Ruled out: the same check for flows from before the agent's start, since a late copy might be the first packet that it sees.

Both tests failed before.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -55,6 +55,12 @@
     "packets",
     "Packets returned to a balancer, as their flow is not here.",
 )
+LATE_ANSWERS_DROPPED = metrics.declare(
+    "stream.late_answers_dropped",
+    "counter",
+    "packets",
+    "Data of an earlier flow with the same addresses and ports.",
+)
 
 _log = logs.get("agent")
 
@@ -329,13 +335,16 @@
         if entry is None:
             entry = self.flows.add(flow)
             entry.established = not packet.syn
+        elif entry.is_foreign_data(packet):
+            self._metrics.count(LATE_ANSWERS_DROPPED)
+            return
         entry.seen_s = anyio.current_time()
         if packet.syn:
-            entry.endpoint_sequence = packet.sequence
+            entry.record_endpoint_sequence(packet.sequence)
             if entry.offer is not None:
                 self._reply(entry.offer, "taken", "")
                 entry.offer, entry.opening = None, b""
-        if packet.data_bytes:
+        if packet.data_bytes and entry.record_endpoint_data(packet):
             self.flows.end_request(entry, answered=True)
         if packet.rst:
             self.flows.end(entry)
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -27,6 +27,16 @@
 MAX_BOUNCED_FLOWS = 20_000
 # Stream positions wrap around at 32 bits.
 SEQUENCE_MASK = 0xFFFFFFFF
+# Packets of a flow lie within this distance of the latest data, as an end has
+# at most 16 packets of 1,200 bytes in flight and resets may lie four times as
+# far away.
+MAX_POSITION_DISTANCE_BYTES = 76_800
+
+
+def _bytes_ahead(position: int, reference: int) -> int:
+    """Return how far a stream position lies ahead of another (or behind)."""
+    ahead = (position - reference) & SEQUENCE_MASK
+    return ahead if ahead <= SEQUENCE_MASK // 2 else ahead - SEQUENCE_MASK - 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,7 +51,8 @@
     ``measures_service_time`` marks a request that started in a free slot, so
     its duration does not include queueing. ``budget_s`` is the time that
     the caller waits for an answer. ``caller_position`` is the end of the data
-    received from the caller, or -1 before the first byte.
+    received from the caller, or -1 before the first byte;
+    ``endpoint_position`` is the same for the endpoint's data.
     """
 
     flow: segment.Flow
@@ -61,16 +72,50 @@
     endpoint_finished: bool = False
     ended_s: float | None = None
     caller_position: int = -1
+    endpoint_position: int = -1
 
     def record_caller_data(self, packet: segment.Segment) -> bool:
         """Record a caller's data; return false if it is a retransmission."""
         end = (packet.sequence + packet.data_bytes) & SEQUENCE_MASK
-        ahead = (end - self.caller_position) & SEQUENCE_MASK
-        if self.caller_position >= 0 and not 0 < ahead <= SEQUENCE_MASK // 2:
+        if (
+            self.caller_position >= 0
+            and _bytes_ahead(end, self.caller_position) <= 0
+        ):
             return False
         self.caller_position = end
         return True
 
+    def record_endpoint_data(self, packet: segment.Segment) -> bool:
+        """Record an endpoint's data; return false if it is a retransmission.
+
+        A late copy of an answer must not end the request after it.
+        """
+        end = (packet.sequence + packet.data_bytes) & SEQUENCE_MASK
+        if self.endpoint_position >= 0:
+            ahead = _bytes_ahead(end, self.endpoint_position)
+            if -MAX_POSITION_DISTANCE_BYTES <= ahead <= 0:
+                return False
+        self.endpoint_position = end
+        return True
+
+    def is_foreign_data(self, packet: segment.Segment) -> bool:
+        """Return whether an endpoint's data is from an earlier flow.
+
+        A caller may use the port of an ended flow again while its endpoint
+        still sends copies of the last answer. Unknown for a flow that is
+        older than this process, as its start was not seen.
+        """
+        if not packet.data_bytes or self.endpoint_sequence < 0:
+            return False
+        distance = _bytes_ahead(packet.sequence, self.endpoint_position)
+        return abs(distance) > MAX_POSITION_DISTANCE_BYTES
+
+    def record_endpoint_sequence(self, sequence: int) -> None:
+        """Record the sequence number of the endpoint's SYN+ACK."""
+        if sequence != self.endpoint_sequence:
+            self.endpoint_sequence = sequence
+            self.endpoint_position = sequence
+
     def is_acknowledged_by(self, acknowledged: int) -> bool:
         """Return whether a number acknowledges this endpoint's SYN+ACK."""
         if self.endpoint_sequence < 0:
--- a/src/bramleypin/standins/stream_ends.py
+++ b/src/bramleypin/standins/stream_ends.py
@@ -135,6 +135,12 @@
         position = own_sequence + 1 + sent_bytes
         self._send(flow, stream_codec.ACK, position, end, answer)
 
+    def send_data(
+        self, flow: segment.Flow, position: int, data: bytes
+    ) -> None:
+        """Send data at any position, e.g. a late copy of an answer."""
+        self._send(flow, stream_codec.ACK, position, 0, data)
+
     async def _serve_request(self, flow: segment.Flow, sequence: int) -> None:
         async with self._free_slots:
             self.runs.append(FlowEvent(flow, anyio.current_time()))
--- a/tests/failures/test_kept_flows.py
+++ b/tests/failures/test_kept_flows.py
@@ -84,6 +84,53 @@
         answers = test_stream_flows.run_scenario(scenario)
         self.assertEqual([4] * 12, answers)
 
+    def test_a_late_copy_of_an_answer_ends_no_later_request(self):
+        """Guards against answers that count for the request after theirs."""
+
+        async def scenario(fleet):
+            (kept_flow,) = await start_kept_flows(
+                fleet, count=1, endpoints=1, work_s=0.3
+            )
+            endpoint = fleet.endpoint_by_name["e0"]
+            agent = fleet.agent_by_name["e0"].kernel.get("agent")
+            first_answer = agent.flows.flow_by_key[kept_flow.flow]
+            running = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kept_flow.request)
+                await anyio.sleep(0.1)
+                endpoint.send_data(
+                    kept_flow.flow, first_answer.endpoint_sequence + 1, b"a"
+                )
+                await anyio.sleep(0.1)
+                running.append(agent.flows.running_requests)
+            await anyio.sleep(0.3)
+            running.append(agent.flows.running_requests)
+            return running
+
+        self.assertEqual([1, 0], test_stream_flows.run_scenario(scenario))
+
+    def test_an_answer_from_an_earlier_flow_does_not_reach_the_caller(self):
+        """Guards against late answers on a port that is in use again."""
+
+        async def scenario(fleet):
+            (kept_flow,) = await start_kept_flows(fleet, count=1, endpoints=1)
+            endpoint = fleet.endpoint_by_name["e0"]
+            agent = fleet.agent_by_name["e0"].kernel.get("agent")
+            entry = agent.flows.flow_by_key[kept_flow.flow]
+            for distance in (100_000, -100_000):
+                endpoint.send_data(
+                    kept_flow.flow,
+                    entry.endpoint_sequence + distance,
+                    b"answer to someone else",
+                )
+            outcome = await kept_flow.request()
+            return outcome.kind, kept_flow.answers
+
+        kind, answers = test_stream_flows.run_scenario(scenario)
+        self.assertEqual("answered", kind)
+        self.assertEqual(2, len(answers))
+        self.assertNotIn(b"answer to someone else", answers)
+
     def test_a_flow_is_found_after_all_agents_restarted_in_turn(self):
         """Guards against trying the same wrong endpoints again and again.
 
