Import the WebSocket library only when a link to a peer opens

A profile of the soak's daemons under load spent 7.1 of 37 s of the agents' and 5.8 of 27 s of the balancers' processor time in the import of the library, two seconds after each start. Views are exchanged only without the store.

Change: a daemon listens with a plain socket and imports the library when the first peer connects, or when it fetches a view itself. Its port therefore answers from the start, so the delay of two seconds is gone.

Ruled out: a shorter delay or none (the same time, when callers need it most); another library (plumbing stays the declared one's).

The test starts a process of its own and fails without the lazy import.

--- a/src/bramleypin/internal/net/control.py
+++ b/src/bramleypin/internal/net/control.py
@@ -1,5 +1,7 @@
 """Control links over WebSocket (RFC 6455), one message per frame."""
 
+import socket
+
 import anyio
 from websockets.asyncio import client
 from websockets.asyncio import connection as connection_module
@@ -90,17 +92,26 @@
         return WebsocketLink(connection)
 
     async def serve(
-        self, local_address: address.Address, handler: environment.LinkHandler
+        self,
+        local_address: address.Address,
+        handler: environment.LinkHandler,
+        listening_socket: socket.socket | None = None,
     ) -> None:
-        """Accept links until cancelled, with one task per link."""
+        """Accept links until cancelled, with one task per link.
+
+        A listening socket that is open already is used instead of the address.
+        """
+        if listening_socket is None:
+            listening_socket = socket.create_server(
+                (local_address.host, local_address.port)
+            )
 
         async def handle(connection: server.ServerConnection) -> None:
             await handler(WebsocketLink(connection))
 
         listener = await server.serve(
             handle,
-            local_address.host,
-            local_address.port,
+            sock=listening_socket,
             server_header=None,
             **_CONNECTION_OPTIONS,
         )
--- a/src/bramleypin/internal/stream/exchange.py
+++ b/src/bramleypin/internal/stream/exchange.py
@@ -13,10 +13,6 @@
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
-# Views are served only some time after the start: importing the WebSocket
-# library takes 0.1 s of CPU time, and a restarted daemon needs this time for
-# its callers first.
-SERVE_DELAY_S = 2.0
 POLL_INTERVAL_S = 0.25
 # Other daemons are asked only after the store has had this long to answer.
 STORE_GRACE_S = 0.4
@@ -126,13 +122,18 @@
         self._reader = kernel.get("view_reader")
         self._peers = kernel.get("peer_port")
         self._metrics = kernel.get("metrics")
+        self._control = kernel.environment.control
         self._random = kernel.environment.random
         self._outdated_since_s: float | None = None
 
     async def run(self) -> None:
         """Serve and fetch until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._serve)
+            tasks.start_soon(
+                self._control.serve,
+                self.kernel.settings.peers,
+                self._answer_request,
+            )
             while True:
                 await anyio.sleep(
                     POLL_INTERVAL_S * (0.5 + self._random.random())
@@ -141,11 +142,6 @@
                 if host:
                     await self._fetch(host)
 
-    async def _serve(self) -> None:
-        await anyio.sleep(SERVE_DELAY_S)
-        network = self.kernel.environment.open_control()
-        await network.serve(self.kernel.settings.peers, self._answer_request)
-
     async def _answer_request(self, link: environment.ControlLink) -> None:
         try:
             with anyio.move_on_after(SERVE_TIMEOUT_S):
@@ -193,8 +189,7 @@
         peer_address = address.Address(host, self.kernel.settings.peers.port)
         try:
             with anyio.fail_after(FETCH_TIMEOUT_S):
-                network = self.kernel.environment.open_control()
-                link = await network.connect(peer_address)
+                link = await self._control.connect(peer_address)
                 try:
                     await link.send(cbor2.dumps(msgspec.to_builtins(request)))
                     data = await link.receive()
--- a/src/bramleypin/internal/stream/program.py
+++ b/src/bramleypin/internal/stream/program.py
@@ -12,6 +12,7 @@
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.net import datagram
 from bramleypin.internal.net import environment
+from bramleypin.internal.net import lazy_control
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import structured
 from bramleypin.internal import services
@@ -32,7 +33,7 @@
     open_listener: typing.Callable[
         [address.Address], typing.Awaitable[anyio.abc.Listener]
     ]
-    open_control: typing.Callable[[], environment.ControlNetwork]
+    control: environment.ControlNetwork
     platform: view.ViewSource
     codec: segment.SegmentCodec
     random: random.Random
@@ -46,13 +47,6 @@
     )
 
 
-def _open_control() -> environment.ControlNetwork:
-    # Imported on first use, because the import takes 0.1 s of CPU time.
-    from bramleypin.internal.net import control
-
-    return control.WebsocketNetwork()
-
-
 async def serve(
     settings: stream_settings.StreamSettings,
     codec: segment.SegmentCodec,
@@ -67,7 +61,7 @@
     stream_environment = StreamEnvironment(
         open_datagram_port=datagram.open_port,
         open_listener=_open_listener,
-        open_control=_open_control,
+        control=lazy_control.LazyControlNetwork(),
         platform=source,
         codec=codec,
         random=random.SystemRandom(),
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -301,7 +301,7 @@
             program.StreamEnvironment(
                 open_datagram_port=process.open_datagram_port,
                 open_listener=_open_listener,
-                open_control=lambda: process.control,
+                control=process.control,
                 platform=StoreClient(self.fleet.store, self.settings.host),
                 codec=stream_codec.TestCodec(),
                 random=process.random,
--- a/tests/cover/test_loopback.py
+++ b/tests/cover/test_loopback.py
@@ -1,6 +1,8 @@
 """Tests of the network implementations over loopback."""
 
 import random
+import subprocess
+import sys
 import unittest
 
 import anyio
@@ -30,6 +32,42 @@
     return port
 
 
+class TestLazyImport(unittest.TestCase):
+    def test_the_library_is_imported_when_the_first_link_opens(self):
+        """Guards against 0.1 s of processor time in each start of a daemon."""
+        program = f"""
+import sys
+import anyio
+from bramleypin.internal import address
+from bramleypin.internal.net import lazy_control
+from bramleypin.internal.stream import program
+
+async def echo(link):
+    await link.send(await link.receive())
+
+async def main():
+    network = lazy_control.LazyControlNetwork()
+    server_address = address.Address("{HOST}", {anyio.run(free_port)})
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(network.serve, server_address, echo)
+        await anyio.wait_all_tasks_blocked()
+        print("websockets" in sys.modules)
+        link = await network.connect(server_address)
+        await link.send(b"view")
+        print((await link.receive()).decode(), "websockets" in sys.modules)
+        tasks.cancel_scope.cancel()
+
+anyio.run(main)
+"""
+        result = subprocess.run(
+            [sys.executable, "-c", program],
+            capture_output=True,
+            text=True,
+            timeout=60.0,
+        )
+        self.assertEqual("False\nview True\n", result.stdout, result.stderr)
+
+
 class TestWebsockets(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
