Search for the owner of a flow that its caller has open already

An endpoint on a busy machine accepted an opening 30 ms late; its agent had passed it on, all others were full, and the opening was postponed. The caller had the late answer and sent its request, which waited at the balancer until the opening was refused after 1.2 s with a reset. The same follows when an agent's answer to the balancer is lost.

Change: a packet that acknowledges an endpoint's answer shows that the flow is open. An opening with such a packet is offered to no further endpoint; its owner is searched for as that of any open flow.

Ruled out: searching as soon as the packet arrives while an offer is on its way, since the agent's answer usually follows within a millisecond.

The test loses the agents' answers: reset before, answered now.

--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -91,6 +91,7 @@
         self._owners: owners_module.OwnerLookup = kernel.get("owners")
         self._openings.on_taken = self._on_taken
         self._openings.on_refused = self._on_refused
+        self._openings.on_open_elsewhere = self._on_open_elsewhere
         self._owners.on_found = self._on_found
         self._owners.on_unclear = self._on_unclear
         self._owners.on_lost = self._on_lost
@@ -158,11 +159,7 @@
         opening = self._openings.opening_by_flow.get(flow)
         if opening is not None:
             if not packet.opening:
-                if (
-                    len(opening.waiting_packets)
-                    < openings_module.MAX_WAITING_PACKETS
-                ):
-                    opening.waiting_packets.append(packet)
+                self._openings.add_packet(opening, packet)
             return
         trial = self._trials.trial_by_flow.get(flow)
         if trial is not None:
@@ -212,6 +209,10 @@
     def _on_refused(self, opening: openings_module.Opening) -> None:
         self._reset_flow(opening.flow, "no endpoint")
 
+    def _on_open_elsewhere(self, opening: openings_module.Opening) -> None:
+        for packet in opening.waiting_packets:
+            self._owners.search(packet)
+
     def _on_found(self, search: owners_module.OwnerSearch, host: str) -> None:
         owner = FlowOwner(host, anyio.current_time())
         self._store_owner(search.flow, owner)
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -1,6 +1,7 @@
 """Opens flows by offering opening packets to one agent after another."""
 
 import dataclasses
+import typing
 
 import anyio
 
@@ -86,6 +87,13 @@
     )
     is_late: bool = False
 
+    @property
+    def open_at_caller(self) -> bool:
+        """Whether the caller has acknowledged an endpoint's answer."""
+        return any(
+            packet.ack and not packet.rst for packet in self.waiting_packets
+        )
+
 
 @kernel_module.service(
     "openings",
@@ -95,10 +103,15 @@
 class Openings(kernel_module.Service):
     """Manages the openings in progress.
 
-    The balancer sets the callbacks ``on_taken(opening, host)`` and
-    ``on_refused(opening)``.
+    The balancer sets the callbacks ``on_taken(opening, host)``,
+    ``on_refused(opening)`` and ``on_open_elsewhere(opening)``: the caller has
+    an endpoint's answer, but no agent has told this balancer.
     """
 
+    on_taken: typing.Callable[[Opening, str], None]
+    on_refused: typing.Callable[[Opening], None]
+    on_open_elsewhere: typing.Callable[[Opening], None]
+
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self.opening_by_flow: dict[segment.Flow, Opening] = {}
@@ -142,12 +155,27 @@
         self._offer(opening)
         self._ticker.wake()
 
+    def add_packet(self, opening: Opening, packet: segment.Segment) -> None:
+        """Keep a packet of an opening's flow until the flow is taken."""
+        if len(opening.waiting_packets) >= MAX_WAITING_PACKETS:
+            return
+        opening.waiting_packets.append(packet)
+        if not opening.host and opening.open_at_caller:
+            self._offer(opening)
+
     def _offer(self, opening: Opening, free_host: str = "") -> bool:
         """Offer, postpone or refuse an opening; false if it is postponed.
 
-        ``free_host`` reported a free slot and is a candidate as well.
+        ``free_host`` reported a free slot and is a candidate as well. A flow
+        that the caller has open is offered to no other endpoint: one that was
+        slow has accepted it after its agent had passed the opening on, or the
+        agent's answer was lost.
         """
         self._postponed.discard(opening.flow)
+        if opening.open_at_caller:
+            self._remove(opening)
+            self.on_open_elsewhere(opening)
+            return True
         now_s = anyio.current_time()
         if now_s - opening.started_s > MAX_OPENING_AGE_S:
             self._refuse(opening, "no endpoint in time")
--- a/tests/failures/test_stream_flows.py
+++ b/tests/failures/test_stream_flows.py
@@ -6,6 +6,7 @@
 import anyio
 import parameterized
 
+from bramleypin.internal.stream import agent as agent_module
 from bramleypin.internal.stream import openings
 from bramleypin.standins import stream_fleet
 from bramleypin.standins import virtual_network
@@ -134,6 +135,26 @@
         self.assertEqual({"answered"}, outcome_kinds(outcomes))
         self.assertLess(max(item.seconds for item in outcomes), 0.4)
 
+    def test_a_flow_that_its_caller_has_open_is_not_reset_as_unopened(self):
+        """Guards against a reset while an endpoint holds the flow.
+
+        The agents' answers to the balancer are lost, or an endpoint accepts
+        after its agent has passed the opening on.
+        """
+        original_reply = agent_module.Agent._reply
+
+        def lose_taken(agent, offer, outcome, reason):
+            if outcome != "taken":
+                original_reply(agent, offer, outcome, reason)
+
+        async def scenario(fleet):
+            caller = await start_fleet(fleet, balancers=1)
+            return await send_requests(caller, 20, 1.0)
+
+        with mock.patch.object(agent_module.Agent, "_reply", lose_taken):
+            outcomes = run_scenario(scenario)
+        self.assertEqual({"answered"}, outcome_kinds(outcomes))
+
     def test_no_later_request_fails_when_an_agent_is_killed(self):
         """Guards against openings that wait for a machine that is down."""
 
