Let the soak's callers ignore resets that the platform's callers ignore

The platform's page allows a reset of an open flow only within 76,800 bytes of the caller's last acknowledgement, so its callers do not take this one.

Change: the soak's caller ignores a reset of the balancer outside that window while its flow is open. Resets within it count as before.

--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -19,6 +19,10 @@
 OPENING_SEND_TIMES_S = (0.0, 0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
 RETRANSMIT_INTERVAL_S = 0.2
+# A caller ignores a reset by the load balancer if its flow is open and the
+# sequence number is further than this from its own last acknowledgement.
+RESET_WINDOW_BYTES = 76_800
+SYSTEM_CHECKSUM = bytes(4)
 CODEC = packet_module.PacketCodec()
 
 
@@ -51,6 +55,14 @@
     )
 
 
+def _is_out_of_window(reset: segment.Segment, acknowledged: int) -> bool:
+    """Return whether a caller ignores a reset on its open flow."""
+    if not reset.raw.startswith(SYSTEM_CHECKSUM):
+        return False
+    distance = (reset.sequence - acknowledged) & SEQUENCE_MASK
+    return min(distance, SEQUENCE_MASK + 1 - distance) > RESET_WINDOW_BYTES
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Execution:
     """A request that an endpoint has executed."""
@@ -282,6 +294,8 @@
                 packet = await self._next_packet(inbox, remaining_s)
                 if packet is None:
                     break
+                if packet.rst and _is_out_of_window(packet, acknowledged):
+                    continue
                 if packet.rst or packet.acknowledged == sequence + len(data):
                     return packet
             wait_s = min(1.6, 2 * wait_s)
