--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -309,7 +309,8 @@
         for machine in self.machines:
             if not machine.running:
                 self._add_violation(
-                    f"{machine.name} exited without being stopped"
+                    f"{machine.name} exited without being stopped, "
+                    f"with status {machine.process.returncode}"
                 )
 
     def _check_requests(self) -> None:
