Handle datagrams in the event loop's callback

Most packets arrive one by one. Each woke a task: two registrations with the selector, three reads and two polls, and anyio's bookkeeping.

Change: ports of the stream path pass datagrams to a handler from a callback of asyncio's loop. A burst of 64 is read at a time, so other tasks still run.

The test floods a port with its own datagrams while a timer and the closing must still run.

--- a/src/bramleypin/internal/net/datagram.py
+++ b/src/bramleypin/internal/net/datagram.py
@@ -2,9 +2,11 @@
 
 An event loop's datagram protocol costs a callback, a copy and a task switch
 per datagram. Waiting until the socket is readable and then draining it costs
-a few system calls per burst.
+a few system calls per burst. Where datagrams arrive one by one, waking a task
+costs most of the time, so ``serve`` handles them in the loop's callback.
 """
 
+import asyncio
 import errno
 import socket
 import typing
@@ -16,8 +18,12 @@
 from bramleypin.internal import address as address_module
 
 RECEIVE_BYTES = 65_535
+# Datagrams that are handled before other tasks run.
+MAX_BURST_DATAGRAMS = 64
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
+Handler = typing.Callable[[bytes, tuple[str, int]], None]
+
 # Error numbers with which a connected UDP socket reports that an ICMP "port
 # unreachable" message has arrived.
 _REFUSED_ERRNOS = frozenset((errno.ECONNREFUSED,))
@@ -65,6 +71,7 @@
         self._recvfrom = sock.recvfrom
         self.address = address_module.Address(*sock.getsockname())
         self.send_failures = 0
+        self._stop_serving: typing.Callable[[], None] | None = None
 
     def send(self, data: bytes, destination: address_module.Address) -> None:
         """Send one datagram; drop it when the kernel does not accept it."""
@@ -143,11 +150,64 @@
             if self._socket.fileno() < 0:
                 raise errors.PortClosed("the port is closed") from None
 
+    async def serve(self, handler: Handler) -> None:
+        """Call ``handler`` with each datagram and its sender until closed.
+
+        ``handler`` runs in a callback of the event loop, which must be that
+        of asyncio; anyio has no such callbacks.
+
+        :raises errors.PortClosed: when the port is closed, before or during
+            the call.
+        """
+        descriptor = self._socket.fileno()
+        if descriptor >= 0:
+            loop = asyncio.get_running_loop()
+            closed = anyio.Event()
+            loop.add_reader(descriptor, self._handle_burst, handler)
+
+            def stop_serving() -> None:
+                loop.remove_reader(descriptor)
+                self._stop_serving = None
+                closed.set()
+
+            self._stop_serving = stop_serving
+            try:
+                await closed.wait()
+            finally:
+                if self._stop_serving is not None:
+                    self._stop_serving()
+        raise errors.PortClosed("the port is closed")
+
+    def _handle_burst(self, handler: Handler) -> None:
+        burst: list[tuple[bytes, tuple[str, int]]] = []
+        self.receive_more(MAX_BURST_DATAGRAMS, burst)
+        for data, sender in burst:
+            handler(data, sender)
+
     async def aclose(self) -> None:
         """Close the port."""
+        if self._stop_serving is not None:
+            self._stop_serving()
         close_socket(self._socket)
 
 
+async def serve(port: typing.Any, handler: Handler) -> None:
+    """Call ``handler`` with each datagram of a port until it is closed.
+
+    :raises errors.PortClosed: when the port is closed.
+    """
+    if isinstance(port, UdpPort):
+        await port.serve(handler)
+        return
+    burst: list[tuple[bytes, tuple[str, int]]] = []
+    while True:
+        burst.append(await port.receive())
+        receive_more(port, MAX_BURST_DATAGRAMS, burst)
+        for data, sender in burst:
+            handler(data, sender)
+        burst.clear()
+
+
 def receive_more(port: typing.Any, limit: int, buffer: list) -> None:
     """Append a port's ready datagrams to ``buffer`` until it holds ``limit``.
 
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -13,7 +13,6 @@
 from bramleypin.internal.stream import stream_admission
 from bramleypin.internal.stream import ticker
 
-MAX_BURST_DATAGRAMS = 64
 PURGE_INTERVAL_S = 1.0
 # An endpoint answers an opening within 1 ms unless its machine is busy.
 ENDPOINT_TIMEOUT_S = 0.03
@@ -105,13 +104,10 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._pass_on_unanswered)
             tasks.start_soon(self._purge_flows)
-            burst: list[tuple[bytes, tuple[str, int]]] = []
-            while True:
-                burst.append(await self._port.receive())
-                datagram.receive_more(self._port, MAX_BURST_DATAGRAMS, burst)
-                for data, _ in burst:
-                    guard.call(self._metrics, self.forward_from_endpoint, data)
-                burst.clear()
+            await datagram.serve(self._port, self._on_datagram)
+
+    def _on_datagram(self, data: bytes, _: tuple[str, int]) -> None:
+        guard.call(self._metrics, self.forward_from_endpoint, data)
 
     def _on_offer(self, offer: frames.Offer, data: bytes, host: str) -> None:
         packet = self._codec.decode(data)
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -17,7 +17,6 @@
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import trials as trials_module
 
-MAX_BURST_DATAGRAMS = 64
 PURGE_INTERVAL_S = 1.0
 MAX_FLOWS = 200_000
 # Maximum number of flows whose packets are queued until a view is loaded.
@@ -120,13 +119,10 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._purge_idle_flows)
             tasks.start_soon(self._route_early_packets)
-            burst: list[tuple[bytes, tuple[str, int]]] = []
-            while True:
-                burst.append(await self._port.receive())
-                datagram.receive_more(self._port, MAX_BURST_DATAGRAMS, burst)
-                for data, _ in burst:
-                    guard.call(self._metrics, self.handle_packet, data)
-                burst.clear()
+            await datagram.serve(self._port, self._on_datagram)
+
+    def _on_datagram(self, data: bytes, _: tuple[str, int]) -> None:
+        guard.call(self._metrics, self.handle_packet, data)
 
     async def stop(self) -> None:
         """Close the port."""
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -19,7 +19,6 @@
     "frames",
     "Datagrams of other daemons that are no frame.",
 )
-MAX_BURST_DATAGRAMS = 64
 RECENT_PEER_S = 5.0
 
 Handler = typing.Callable[[typing.Any, bytes, str], None]
@@ -78,15 +77,10 @@
 
     async def run(self) -> None:
         """Dispatch received frames until the port is closed."""
-        burst: list[tuple[bytes, tuple[str, int]]] = []
-        while True:
-            burst.append(await self._port.receive())
-            datagram.receive_more(self._port, MAX_BURST_DATAGRAMS, burst)
-            for data, sender in burst:
-                self._dispatch(data, sender[0])
-            burst.clear()
-
-    def _dispatch(self, data: bytes, sender_host: str) -> None:
+        await datagram.serve(self._port, self._on_datagram)
+
+    def _on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        sender_host = sender[0]
         try:
             message, packet = frames.decode(data)
         except errors.InvalidFrame:
--- a/tests/cover/test_loopback.py
+++ b/tests/cover/test_loopback.py
@@ -185,6 +185,49 @@
             platform_client.connect(settings_module.Platform("gopher://x"))
 
 
+class TestServe(unittest.TestCase):
+    def test_handlers_get_every_datagram_until_the_port_is_closed(self):
+        """Guards against lost datagrams, and a port that starves others."""
+
+        async def main():
+            port = await datagram.open_port(address.Address(HOST, 0))
+            received, times = [], []
+
+            def handle(data, sender):
+                received.append((data, sender))
+                times.append(anyio.current_time())
+                if data == b"0":
+                    # A flood that never ends: each datagram sends the next.
+                    port.send(b"0", sender)
+
+            ended = []
+
+            async def serve():
+                try:
+                    await datagram.serve(port, handle)
+                except errors.PortClosed as error:
+                    ended.append(error)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(serve)
+                await anyio.wait_all_tasks_blocked()
+                for number in range(1, 200):
+                    port.send(str(number).encode(), port.address)
+                await anyio.sleep(0.2)
+                numbers = [int(data) for data, _ in received]
+                port.send(b"0", port.address)
+                await anyio.sleep(0.2)
+                await port.aclose()
+            with self.assertRaises(errors.PortClosed):
+                await datagram.serve(port, handle)
+            return numbers, {sender for _, sender in received}, port, ended
+
+        numbers, senders, port, ended = anyio.run(main)
+        self.assertEqual(list(range(1, 200)), numbers)
+        self.assertEqual({tuple(port.address)}, senders)
+        self.assertEqual(1, len(ended))
+
+
 class TestEndpointPort(unittest.TestCase):
     def test_a_port_where_nothing_listens_is_seen_as_refused(self):
         """Guards against the outcome "unknown" for a request not run."""
