Try a flow at its candidates before all other agents

Cause: after a restart of all agents none can rule a flow out.

Ruled out: resetting the flow when the candidates have returned it, since an opening may go to any endpoint that reports a free slot.

--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -54,8 +54,9 @@
 class OwnerSearch:
     """A search in progress.
 
-    ``asked_hosts`` are the agents that were asked, ``answer_count`` counts
-    those that answered. ``asked_all`` is true once all endpoints of the view
+    ``asked_hosts`` are the agents that were asked, ``candidate_hosts`` those
+    among them that the flow's candidates name, ``answer_count`` counts the
+    answers. ``asked_all`` is true once all endpoints of the view
     were asked. ``opening`` is the flow's latest opening packet, if any
     arrived, and ``waiting_packets`` are its other packets. The agents in
     ``possible_hosts`` cannot rule out that they hold the flow.
@@ -70,6 +71,7 @@
     asked_hosts: dict[str, None]
     opening: segment.Segment | None
     waiting_packets: list[segment.Segment]
+    candidate_hosts: frozenset[str] = frozenset()
     possible_hosts: list[str] = dataclasses.field(default_factory=list)
     answer_count: int = 0
     newest_revision: int = -1
@@ -157,7 +159,9 @@
         )
         self.search_by_flow[flow] = search
         self._search_by_number[search.number] = search
-        self._ask(search, self._candidate_hosts(packet))
+        candidate_hosts = self._candidate_hosts(packet)
+        search.candidate_hosts = frozenset(candidate_hosts)
+        self._ask(search, candidate_hosts)
         self._ticker.wake()
 
     def _ask(self, search: OwnerSearch, hosts: list[str]) -> None:
--- a/src/bramleypin/internal/stream/trials.py
+++ b/src/bramleypin/internal/stream/trials.py
@@ -52,14 +52,16 @@
 class Trial:
     """A trial in progress.
 
-    ``pending_hosts`` have not returned the packet. ``waiting_packets`` are
-    sent once the owner is known; the first one is the one that is tried.
+    ``pending_hosts`` have not returned the packet, ``remaining_hosts`` are
+    tried next. ``waiting_packets`` are sent once the owner is known; the first
+    one is the one that is tried.
     """
 
     search: owners.OwnerSearch
-    deadline_s: float
     pending_hosts: list[str]
+    remaining_hosts: list[str]
     waiting_packets: list[segment.Segment]
+    deadline_s: float = 0.0
 
 
 @kernel_module.service(
@@ -84,27 +86,43 @@
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
 
     def begin(self, search: owners.OwnerSearch) -> bool:
-        """Try a search's first packet at all agents that may hold the flow.
+        """Try a search's first packet at the agents that may hold the flow.
 
-        Returns false if no agent may be tried now.
+        The flow's candidates come first, since nearly all flows are opened
+        there; after a restart of all agents, the packet otherwise reaches
+        every endpoint. Returns false if no agent may be tried now.
         """
-        hosts = search.possible_hosts[:MAX_HOSTS]
+        possible_hosts = search.possible_hosts
+        candidates = search.candidate_hosts
+        hosts = [host for host in possible_hosts if host in candidates]
+        remaining_hosts = [
+            host for host in possible_hosts if host not in candidates
+        ][: MAX_HOSTS - len(hosts)]
         if not search.settled:
-            hosts = self._limit_hosts(search.flow, hosts)
-        if not hosts:
+            hosts = self._limit_hosts(search.flow, hosts + remaining_hosts)
+            remaining_hosts = []
+        if not hosts + remaining_hosts:
             return False
         self._metrics.count(TRIALS_STARTED)
-        self.trial_by_flow[search.flow] = Trial(
-            search,
-            anyio.current_time() + BOUNCE_TIMEOUT_S,
-            hosts,
-            search.waiting_packets,
-        )
+        trial = Trial(search, [], remaining_hosts, search.waiting_packets)
+        self.trial_by_flow[search.flow] = trial
+        if hosts:
+            self._try(trial, hosts)
+        else:
+            self._try_remaining(trial)
+        return True
+
+    def _try(self, trial: Trial, hosts: list[str]) -> None:
+        trial.pending_hosts += hosts
+        trial.deadline_s = anyio.current_time() + BOUNCE_TIMEOUT_S
         message = frames.Data(confirmed=False)
         for host in hosts:
-            self._peers.send(host, message, search.waiting_packets[0].raw)
+            self._peers.send(host, message, trial.waiting_packets[0].raw)
         self._ticker.wake()
-        return True
+
+    def _try_remaining(self, trial: Trial) -> None:
+        hosts, trial.remaining_hosts = trial.remaining_hosts, []
+        self._try(trial, hosts)
 
     def _limit_hosts(self, flow: segment.Flow, hosts: list[str]) -> list[str]:
         """Return the hosts that may be tried though the owner may be away."""
@@ -128,6 +146,10 @@
             self._complete(trial)
 
     def _complete(self, trial: Trial) -> None:
+        if trial.remaining_hosts:
+            # An endpoint that has not answered in time may be a slow one.
+            self._try_remaining(trial)
+            return
         self.trial_by_flow.pop(trial.search.flow, None)
         if trial.pending_hosts:
             self.on_held(trial, trial.pending_hosts[0])
--- a/tests/failures/test_kept_flows.py
+++ b/tests/failures/test_kept_flows.py
@@ -5,6 +5,7 @@
 import anyio
 import parameterized
 
+from bramleypin.internal.stream import candidates
 from bramleypin.standins import stream_fleet
 from tests.failures import test_stream_flows
 
@@ -154,6 +155,30 @@
         self.assertLess(max(item.seconds for item in outcomes), 0.25)
         self.assertEqual(set(), broken)
 
+    def test_a_flow_is_tried_at_few_endpoints_in_a_large_fleet(self):
+        """Guards against packets to every endpoint when all agents restart."""
+
+        async def scenario(fleet):
+            kept_flows = await start_kept_flows(
+                fleet, endpoints=24, balancers=1
+            )
+            daemons = [
+                *fleet.agent_by_name.values(),
+                *fleet.balancer_by_name.values(),
+            ]
+            await restart(*daemons)
+            await anyio.sleep(0.5)
+            outcomes = await request_on_each(kept_flows)
+            bounced = sum(
+                endpoint.bounced_packets
+                for endpoint in fleet.endpoint_by_name.values()
+            )
+            return test_stream_flows.outcome_kinds(outcomes), bounced
+
+        kinds, bounced = test_stream_flows.run_scenario(scenario)
+        self.assertEqual({"answered"}, kinds)
+        self.assertLess(bounced, 12 * candidates.MAX_CANDIDATES)
+
     def test_a_flow_that_no_endpoint_holds_is_reset_at_once(self):
         """Guards against callers that wait for a flow lost in a power loss.
 
