--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -20,7 +20,7 @@
 # The load in a report older than this is ignored.
 MAX_REPORT_AGE_S = 1.0
 # A report of missing capacity prevents offers until it is older than this.
-# Agents with a full queue report at least this often.
+# Agents with a full queue report more often to the latest balancers to offer.
 MAX_FULL_REPORT_AGE_S = 0.15
 # An endpoint in another failure domain is chosen only if its expected answer
 # is earlier by this fraction of the latency objective, because traffic between
