--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -21,6 +21,7 @@
 CALLER_ACK_TIMEOUT_S = 0.3
 # Consecutive unanswered openings after which the endpoint is reported silent.
 MAX_UNANSWERED_OPENINGS = 3
+
 FLOWS_TAKEN = metrics.declare(
     "stream.flows_taken", "counter", "flows", "Openings given to the endpoint."
 )
