--- a/tests/failures/test_kept_flows.py
+++ b/tests/failures/test_kept_flows.py
@@ -94,13 +94,13 @@
             )
             endpoint = fleet.endpoint_by_name["e0"]
             agent = fleet.agent_by_name["e0"].kernel.get("agent")
-            first_answer = agent.flows.flow_by_key[kept_flow.flow]
+            entry = agent.flows.flow_by_key[kept_flow.flow]
             running = []
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(kept_flow.request)
                 await anyio.sleep(0.1)
                 endpoint.send_data(
-                    kept_flow.flow, first_answer.endpoint_sequence + 1, b"a"
+                    kept_flow.flow, entry.endpoint_sequence + 1, b"a"
                 )
                 await anyio.sleep(0.1)
                 running.append(agent.flows.running_requests)
