Review: an open flow on a reused caller port breaks at a planned restart

Cause: the owner of a closed flow stays in the balancer's table, and an agent answers that it holds a flow that has ended. Packets of a new flow with the same addresses and ports then go to the endpoint of the closed one.

--- a/review/standins.py
+++ b/review/standins.py
@@ -354,6 +354,11 @@
                     self._send(key, ACK, packet.ack, ack)
                     return
                 if packet.data:
+                    self.fleet.resets.append((self, key))
+                    self.fleet.record.line(
+                        f"{self.machine.name}: RST to port {key[0][1]}, data "
+                        "on an ended flow"
+                    )
                     self._send(key, RST, packet.ack, packet.seq)
                     return
                 if packet.ack == self.ended[key]:
@@ -720,6 +725,7 @@
         self.hosts = []
         self.clients = []
         self.arrivals = []
+        self.resets = []
         self._tasks = set()
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
