--- a/review/4/case.py
+++ b/review/4/case.py
@@ -36,10 +36,18 @@
             fleet.store.put("servers/other-writer", entry)
             fleet.record.line("store: entry of another writer")
         await asyncio.sleep(5.0)
+    for machine in fleet.machines:
+        if machine.own_ends:
+            fleet.record.line(
+                f"{machine.name} ended by itself {len(machine.own_ends)} times"
+            )
+    # The rule: on a tenth of the machines, two at least, three times each.
     findings = [
         f"{machine.name} ended by itself {len(machine.own_ends)} times"
-        for machine in fleet.machines if machine.own_ends
+        for machine in fleet.machines if len(machine.own_ends) >= 3
     ]
+    if len(findings) < max(2, len(fleet.machines) / 10):
+        findings = []
     for line in fleet.log_lines("failed")[:10]:
         fleet.record.line(f"log: {line[:250]}")
     return findings
