--- a/review/standins.py
+++ b/review/standins.py
@@ -268,6 +268,7 @@
         self.work_s = work_s
         self.id = "i-" + hashlib.md5(machine.name.encode()).hexdigest()[:8]
         self.state = "ready"
+        self.left = False
         self.flow_by_key = {}
         self.ended = {}
         self.openings = []
@@ -282,6 +283,14 @@
         )
         self.fleet.spawn(self._beat())
 
+    def leave(self):
+        """Exit after a drain: the entry goes, and so do all flows."""
+        self.left = True
+        self._socket.close()
+        self.flow_by_key.clear()
+        self.fleet.store.delete(f"servers/{self.id}")
+        self.fleet.record.line(f"{self.machine.name}: its host has left")
+
     def entry(self):
         return {
             "service": self.service,
@@ -310,7 +319,7 @@
 
     async def _beat(self):
         await asyncio.sleep(self.fleet.random.random() * HEARTBEAT_S)
-        while True:
+        while not self.left:
             if not self.fleet.store.down:
                 self.write()
             else:
