--- a/review/standins.py
+++ b/review/standins.py
@@ -893,6 +893,11 @@
         finally:
             await fleet.stop()
 
+    def end(*_):
+        raise SystemExit(2)
+
+    # The daemons are ended as well if the script is stopped.
+    signal.signal(signal.SIGTERM, end)
     try:
         findings = asyncio.run(run())
     except (CannotRun, TimeoutError, OSError) as error:
