Tell an unusable answer of the store from a store that does not answer

A store that is away, an answer that stops the reader and a peer without a newer view wrote the same lines, and only the first failure of an outage was logged. Openings that reach an endpoint without an admission check showed nowhere. Change: a call that was answered with data that cannot be used has its own event and counter (store.answers_unusable); failures are logged every 10 s with the length of the outage and the version in force; skipped entries are counted (store.entries_skipped); a daemon without a newer view says so instead of closing the link, and is counted (stream.views_not_newer), not logged as a failure; openings given to the endpoint unchecked are counted (stream.opening_copies). The agent's counters move to a module of their own. Ruled out: nothing; decisions are unchanged.

--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -138,6 +138,10 @@
     """
 
 
+class PlatformAnswerUnusable(PlatformUnavailable):
+    """Raised when the platform has answered with data that cannot be used."""
+
+
 class PlatformHistoryLost(BramleypinError):
     """Raised when the metadata store has discarded the requested changes."""
 
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -5,7 +5,7 @@
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.net import datagram
 from bramleypin.internal.observe import logs
-from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import agent_metrics
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
@@ -22,45 +22,6 @@
 # Consecutive unanswered openings after which the endpoint is reported silent.
 MAX_UNANSWERED_OPENINGS = 3
 
-FLOWS_TAKEN = metrics.declare(
-    "stream.flows_taken", "counter", "flows", "Openings given to the endpoint."
-)
-OPENINGS_PASSED = metrics.declare(
-    "stream.openings_passed", "counter", "flows", "Openings passed on."
-)
-OPENINGS_DECLINED = metrics.declare(
-    "stream.openings_declined",
-    "counter",
-    "flows",
-    "Openings that no agent in the offer could take.",
-)
-PACKETS_BOUNCED = metrics.declare(
-    "stream.packets_bounced",
-    "counter",
-    "packets",
-    "Packets that the endpoint returned, as it does not hold their flow.",
-)
-PACKETS_TO_CALLERS = metrics.declare(
-    "stream.packets_to_callers", "counter", "packets", "Packets to callers."
-)
-FLOWS_RESET = metrics.declare(
-    "stream.flows_reset",
-    "counter",
-    "flows",
-    "Flows reset, as their endpoint has started anew.",
-)
-PACKETS_NOT_HELD = metrics.declare(
-    "stream.packets_not_held",
-    "counter",
-    "packets",
-    "Packets returned to a balancer, as their flow is not here.",
-)
-LATE_ANSWERS_DROPPED = metrics.declare(
-    "stream.late_answers_dropped",
-    "counter",
-    "packets",
-    "Data of an earlier flow with the same addresses and ports.",
-)
 
 _log = logs.get("agent")
 
@@ -143,7 +104,7 @@
     def _accept_opening(
         self, offer: frames.Offer, packet: segment.Segment, flow: segment.Flow
     ) -> None:
-        self._metrics.count(FLOWS_TAKEN)
+        self._metrics.count(agent_metrics.FLOWS_TAKEN)
         entry = self.flows.add(flow)
         entry.opening = packet.raw
         entry.origin_host = offer.origin_host
@@ -169,10 +130,10 @@
             if host not in offer.tried_hosts and host != self.settings.host
         ]
         if not remaining_hosts:
-            self._metrics.count(OPENINGS_DECLINED)
+            self._metrics.count(agent_metrics.OPENINGS_DECLINED)
             self._reply(offer, "refused", reason)
             return
-        self._metrics.count(OPENINGS_PASSED)
+        self._metrics.count(agent_metrics.OPENINGS_PASSED)
         _log.info(
             "opening passed on",
             flow=str(flow),
@@ -281,7 +242,7 @@
         return message.confirmed and self.settings.service in services
 
     def _return_packet(self, host: str, data: bytes) -> None:
-        self._metrics.count(PACKETS_NOT_HELD)
+        self._metrics.count(agent_metrics.PACKETS_NOT_HELD)
         self._peers.send(host, frames.FlowNotHeld(self.settings.host), data)
 
     def _forward_to_endpoint(
@@ -291,6 +252,8 @@
         if not packet.opening and not entry.established:
             entry.established = True
             self.flows.half_open_by_key.pop(entry.flow, None)
+        if packet.opening:
+            self._metrics.count(agent_metrics.OPENING_COPIES)
         if packet.data_bytes and entry.record_caller_data(packet):
             self.flows.begin_request(entry, self._admission.slots())
         if packet.rst:
@@ -333,7 +296,7 @@
             entry = self.flows.add(flow)
             entry.established = not packet.syn
         elif entry.is_foreign_data(packet):
-            self._metrics.count(LATE_ANSWERS_DROPPED)
+            self._metrics.count(agent_metrics.LATE_ANSWERS_DROPPED)
             return
         entry.seen_s = anyio.current_time()
         if packet.syn:
@@ -350,7 +313,7 @@
             self.flows.end_request(entry, answered=False)
             if entry.caller_finished:
                 self.flows.end(entry)
-        self._metrics.count(PACKETS_TO_CALLERS)
+        self._metrics.count(agent_metrics.PACKETS_TO_CALLERS)
         self._peers.send_raw(data, entry.caller_address)
 
     def _on_endpoint_answer(self) -> None:
@@ -360,7 +323,7 @@
             _log.info("the endpoint answers openings again")
 
     def _on_bounced(self, packet: segment.Segment) -> None:
-        self._metrics.count(PACKETS_BOUNCED)
+        self._metrics.count(agent_metrics.PACKETS_BOUNCED)
         self._on_endpoint_answer()
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
@@ -384,7 +347,7 @@
         if opened_here:
             # The endpoint has restarted, so no endpoint holds the flow. After
             # a reset, its caller can retry at once.
-            self._metrics.count(FLOWS_RESET)
+            self._metrics.count(agent_metrics.FLOWS_RESET)
             reset = self._codec.reset(flow, packet.acknowledged)
             self._peers.send_raw(reset, entry.caller_address)
         elif origin:
--- a/src/bramleypin/internal/stream/exchange.py
+++ b/src/bramleypin/internal/stream/exchange.py
@@ -22,6 +22,15 @@
 VIEWS_FETCHED = metrics.declare(
     "stream.views_fetched", "counter", "views", "Views of other daemons."
 )
+VIEWS_NOT_NEWER = metrics.declare(
+    "stream.views_not_newer",
+    "counter",
+    "answers",
+    "Answers of daemons that were asked for a newer view and had none.",
+)
+# Answer of a daemon without a newer view. A closed link would look like one
+# that failed.
+NO_NEWER_VIEW = b""
 
 _log = logs.get("exchange")
 
@@ -148,10 +157,11 @@
                 data = await link.receive()
                 request = frames.decode_body(data, ViewRequest)
                 view = self._view_manager.view
+                body = NO_NEWER_VIEW
                 if view.revision > request.revision:
                     answer = build_answer(request, view, anyio.current_time())
                     body = cbor2.dumps(msgspec.to_builtins(answer))
-                    await link.send(body)
+                await link.send(body)
         except (errors.LinkClosed, errors.InvalidFrame) as error:
             _log.warn_throttled(
                 "answer", "view request failed", error=str(error)[:200]
@@ -196,6 +206,11 @@
                 finally:
                     with anyio.CancelScope(shield=True):
                         await link.aclose()
+            if data == NO_NEWER_VIEW:
+                # A revision that it announced before a restart is outdated.
+                self._peers.forget(host)
+                self._metrics.count(VIEWS_NOT_NEWER)
+                return
             view = view_from_answer(
                 frames.decode_body(data, ViewAnswer),
                 self._view_manager.view.configuration,
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -230,7 +230,8 @@
     ``complete`` marks a full listing, which replaces all earlier state.
     ``removed_ids`` are the endpoints whose registrations ended,
     ``domains_out`` and ``domains_returned`` the failure domains that were
-    taken out of service and returned to it.
+    taken out of service and returned to it. ``skipped_count`` is the number of
+    entries that could not be decoded.
     """
 
     revision: int
@@ -240,6 +241,7 @@
     domains_out: tuple[str, ...]
     domains_returned: tuple[str, ...]
     complete: bool = False
+    skipped_count: int = 0
 
     @property
     def empty(self) -> bool:
--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -47,6 +47,18 @@
     "calls",
     "Calls that the store refused or did not answer in time.",
 )
+STORE_ANSWERS_UNUSABLE = metrics.declare(
+    "store.answers_unusable",
+    "counter",
+    "calls",
+    "Calls that the store answered with data that cannot be used.",
+)
+STORE_ENTRIES_SKIPPED = metrics.declare(
+    "store.entries_skipped",
+    "counter",
+    "entries",
+    "Entries of the store that could not be decoded.",
+)
 STORE_LISTING_TIME = metrics.declare(
     "store.listing_time",
     "histogram",
@@ -58,8 +70,8 @@
 
 
 @contextlib.contextmanager
-def _unexpected_errors_as_unavailable() -> typing.Iterator[None]:
-    """Raise ``PlatformUnavailable`` for an error that nobody foresaw.
+def _unexpected_errors_as_unusable() -> typing.Iterator[None]:
+    """Raise ``PlatformAnswerUnusable`` for an error that nobody foresaw.
 
     The reader then tries again, instead of ending the daemon.
     """
@@ -68,7 +80,7 @@
     except errors.BramleypinError:
         raise
     except Exception as error:
-        raise errors.PlatformUnavailable(
+        raise errors.PlatformAnswerUnusable(
             f"unexpected {type(error).__name__}: {error}"[:200]
         ) from error
 
@@ -112,11 +124,11 @@
                     self._listing_complete = False
                     continue
                 except errors.PlatformUnavailable as error:
-                    self.store_failing = True
-                    self._metrics.count(STORE_CALLS_FAILED)
                     if outage_started_s is None:
                         outage_started_s = request_started_s
-                        self._log_failure(error)
+                    self._record_failure(
+                        error, request_started_s - outage_started_s
+                    )
                     await anyio.sleep(retry_s * (0.5 + self._random.random()))
                     retry_s = min(MAX_RETRY_S, 2 * retry_s)
                     continue
@@ -132,8 +144,7 @@
                 self._metrics.count(STORE_CALLS_ANSWERED)
                 self._relay.record_store_answer()
                 old_revision = self._view_manager.view.revision
-                for changes in results:
-                    self._view_manager.apply(changes)
+                self._apply(results)
                 self._listing_complete = True
                 if self._view_manager.view.revision > old_revision:
                     await anyio.sleep(self._group_delay_s())
@@ -151,13 +162,38 @@
         age_s = anyio.current_time() - self._view_manager.last_use_s
         return age_s < MAX_USE_AGE_S
 
-    def _log_failure(self, error: errors.PlatformUnavailable) -> None:
-        _log.warning(
-            "the store does not answer",
+    def _record_failure(
+        self, error: errors.PlatformUnavailable, outage_s: float
+    ) -> None:
+        """Count and log a failed call, ``outage_s`` after the first one.
+
+        Data that cannot be used are told from a store that does not answer:
+        they are the same for all daemons, and no other daemon can help.
+        """
+        self.store_failing = True
+        self._metrics.count(STORE_CALLS_FAILED)
+        event = "the store does not answer"
+        if isinstance(error, errors.PlatformAnswerUnusable):
+            self._metrics.count(STORE_ANSWERS_UNUSABLE)
+            event = "an answer of the store cannot be used"
+        view = self._view_manager.view
+        _log.warn_throttled(
+            event,
+            event,
             error=str(error),
-            revision=self._view_manager.view.revision,
+            revision=view.revision,
+            version=view.configuration.version,
+            outage_s=round(outage_s, 3),
         )
 
+    def _apply(self, results: tuple[view_module.Changes, ...]) -> None:
+        for changes in results:
+            if changes.skipped_count:
+                self._metrics.count(
+                    STORE_ENTRIES_SKIPPED, changes.skipped_count
+                )
+            self._view_manager.apply(changes)
+
     async def _list_store(self) -> None:
         """List the store for the first time, with overlapping attempts.
 
@@ -170,7 +206,9 @@
             while not self._listing_complete:
                 if not self._source.receiving:
                     attempts.start_soon(
-                        self._attempt_listing, attempts.cancel_scope
+                        self._attempt_listing,
+                        attempts.cancel_scope,
+                        started_s,
                     )
                 await anyio.sleep(hedge_interval_s)
                 hedge_interval_s = min(
@@ -190,24 +228,22 @@
             revision=self._view_manager.view.revision,
         )
 
-    async def _attempt_listing(self, attempts: anyio.CancelScope) -> None:
+    async def _attempt_listing(
+        self, attempts: anyio.CancelScope, started_s: float
+    ) -> None:
         try:
             try:
                 results = await self._read(allow_stale=True)
             except errors.PlatformHistoryLost:
                 results = await self._read()
         except errors.PlatformUnavailable as error:
-            self._metrics.count(STORE_CALLS_FAILED)
-            if not self.store_failing:
-                self.store_failing = True
-                self._log_failure(error)
+            self._record_failure(error, anyio.current_time() - started_s)
             return
         if not self._listing_complete:
             self._listing_complete = True
             self._relay.record_store_answer()
             self._view_manager.record_first_listing()
-            for changes in results:
-                self._view_manager.apply(changes)
+            self._apply(results)
         attempts.cancel()
 
     async def _next_changes(self) -> tuple[view_module.Changes, ...]:
@@ -217,13 +253,13 @@
         wait_s = WATCH_WAIT_S
         if self._relay.has_followers():
             wait_s = min(wait_s, self._relay.watch_wait_s)
-        with _unexpected_errors_as_unavailable():
+        with _unexpected_errors_as_unusable():
             return (await self._source.watch(revision, wait_s),)
 
     async def _read(
         self, allow_stale: bool = False
     ) -> tuple[view_module.Changes, ...]:
-        with _unexpected_errors_as_unavailable():
+        with _unexpected_errors_as_unusable():
             return await self._source.read(allow_stale)
 
     async def _remove_lapsed_periodically(self) -> None:
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -19,6 +19,8 @@
 IDEMPOTENT_ROUTE_TYPES = frozenset(("safe", "download"))
 ENDPOINT_STATES = ("ready", "draining")
 
+_UNDECODABLE = (msgspec.MsgspecError, errors.InvalidFrame, OSError, ValueError)
+
 _log = logs.get("store")
 
 
@@ -153,6 +155,7 @@
     endpoint_by_id: dict[str, view.Endpoint] = {}
     removed: dict[str, None] = {}
     out_by_domain: dict[str, bool] = {}
+    skipped_count = 0
     for item in items:
         exists = item.value is not None and not item.tombstone
         try:
@@ -168,12 +171,8 @@
                 out_by_domain[domain] = exists
             elif item.key == CONFIGURATION_KEY and exists:
                 configuration = _decode_configuration(item)
-        except (
-            msgspec.DecodeError,
-            errors.InvalidFrame,
-            OSError,
-            ValueError,
-        ) as error:
+        except _UNDECODABLE as error:
+            skipped_count += 1
             _log.warn_throttled(
                 item.key,
                 "skipped an item of the store that cannot be decoded",
@@ -191,4 +190,5 @@
             name for name, out in out_by_domain.items() if not out
         ),
         complete=complete,
+        skipped_count=skipped_count,
     )
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -96,7 +96,7 @@
         try:
             return msgspec.json.decode(body, type=_Page)
         except msgspec.DecodeError as error:
-            raise errors.PlatformUnavailable(f"{path}: {error}") from error
+            raise errors.PlatformAnswerUnusable(f"{path}: {error}") from error
 
     async def _exchange(
         self, target: str, scope: anyio.CancelScope, end_s: float
--- a/tests/failures/test_stream_robustness.py
+++ b/tests/failures/test_stream_robustness.py
@@ -6,9 +6,11 @@
 import anyio
 import parameterized
 
+from bramleypin import errors
 from bramleypin.internal.stream import agent
 from bramleypin.internal.stream import balancer
 from bramleypin.internal.stream import endpoint_flows
+from bramleypin.internal.stream import exchange
 from bramleypin.internal.stream import leaving
 from bramleypin.internal.stream import loads
 from bramleypin.internal.stream import openings
@@ -16,6 +18,7 @@
 from bramleypin.internal.stream import relay
 from bramleypin.internal.stream import reports
 from bramleypin.internal.stream import trials
+from bramleypin.internal.stream import view_reader
 from bramleypin.standins import stream_fleet
 from tests.failures import test_kept_flows
 from tests.failures import test_stream_flows
@@ -147,6 +150,54 @@
         self.assertEqual([2] * 5, versions)
 
 
+class StoreMetricsTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("refuses", errors.PlatformUnavailable("test"), False),
+            ("not foreseen", RecursionError("test"), True),
+        ]
+    )
+    def test_an_unusable_answer_is_told_from_a_store_that(
+        self, _, error, unusable
+    ):
+        """Guards against an outage whose cause no metric shows.
+
+        Peers without a newer view are no failures of the exchange.
+        """
+        original = stream_fleet.StoreClient.watch
+        failing = False
+
+        async def watch(client, *arguments):
+            if failing:
+                raise error
+            return await original(client, *arguments)
+
+        async def scenario(fleet):
+            nonlocal failing
+            await test_stream_flows.start_fleet(fleet)
+            failing = True
+            # Ends the watches that have been waiting since before.
+            fleet.store.put(fleet.registration("e0", slots=6))
+            await anyio.sleep(6.0)
+            service = fleet.balancer_by_name["b0"].kernel.get("metrics")
+            return service.count_by_name
+
+        with (
+            mock.patch.object(stream_fleet.StoreClient, "watch", watch),
+            mock.patch.object(
+                exchange._log, "warn_throttled", autospec=True
+            ) as warnings,
+        ):
+            count_by_name = test_stream_flows.run_scenario(scenario)
+        unusable_count = count_by_name.get(
+            view_reader.STORE_ANSWERS_UNUSABLE, 0
+        )
+        self.assertGreater(count_by_name[view_reader.STORE_CALLS_FAILED], 0)
+        self.assertEqual(unusable, unusable_count > 0)
+        self.assertGreater(count_by_name[exchange.VIEWS_NOT_NEWER], 0)
+        warnings.assert_not_called()
+
+
 class PlannedStopTest(unittest.TestCase):
     def test_a_balancer_that_stops_serves_the_openings_that_wait(self):
         """Guards against a stop that cuts off requests just accepted.
