--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -64,6 +64,25 @@
     )
 
 
+# Decodes an entry of a given revision as the store's client does.
+EntryDecoder = typing.Callable[[int], view.Changes]
+
+
+def _with_decoded(
+    changes: view.Changes, entries: typing.Iterable[tuple[int, EntryDecoder]]
+) -> view.Changes:
+    """Add the entries that are decoded when the store is read."""
+    for revision, decode in entries:
+        decoded = decode(revision)
+        changes = dataclasses.replace(
+            changes,
+            endpoints=(*changes.endpoints, *decoded.endpoints),
+            removed_ids=(*changes.removed_ids, *decoded.removed_ids),
+            skipped_count=changes.skipped_count + decoded.skipped_count,
+        )
+    return changes
+
+
 class Store:
     """A simulated metadata store.
 
@@ -79,6 +98,7 @@
         self.revision = 1
         self.configuration = view.NO_CONFIGURATION
         self.endpoint_by_id: dict[str, view.Endpoint] = {}
+        self._foreign_by_id: dict[str, tuple[int, EntryDecoder]] = {}
         self.domains_out: set[str] = set()
         self.down = False
         self.silent = False
@@ -119,6 +139,12 @@
         self.endpoint_by_id[endpoint.id] = endpoint
         self._commit("endpoint", endpoint)
 
+    def put_foreign(self, id_: str, decode: EntryDecoder) -> None:
+        """Write an entry of another writer, which each read decodes."""
+        entry = (self.revision + 1, decode)
+        self._foreign_by_id[id_] = entry
+        self._commit("foreign", entry)
+
     def remove(self, id_: str) -> None:
         """Remove an endpoint's registration."""
         del self.endpoint_by_id[id_]
@@ -160,7 +186,7 @@
         if allow_stale:
             index = max(0, index - self.stale_commits)
         revision, listed, endpoints, domains_out = self._states[index]
-        return view.Changes(
+        listing = view.Changes(
             revision,
             listed if listed.version >= 0 else None,
             tuple(self._mark_seen(item) for item in endpoints),
@@ -169,6 +195,7 @@
             (),
             complete=True,
         )
+        return _with_decoded(listing, self._foreign_by_id.values())
 
     async def watch(
         self, host: str, after: int, wait_s: float
@@ -194,7 +221,7 @@
         by_kind: dict[str, list] = {}
         for _, kind, value in changes:
             by_kind.setdefault(kind, []).append(value)
-        return view.Changes(
+        watched = view.Changes(
             self.revision,
             by_kind.get("configuration", [None])[-1],
             tuple(
@@ -204,6 +231,7 @@
             tuple(by_kind.get("out", ())),
             tuple(by_kind.get("back", ())),
         )
+        return _with_decoded(watched, by_kind.get("foreign", ()))
 
 
 @dataclasses.dataclass
