Decode each value of another writer on its own

Cause: decode() skipped an item only for four kinds of error. A value that is nested deeply raises RecursionError in msgspec, so every watch and every listing that held the item failed, at every daemon, for as long as the item was in the store or in its history. In the same way one item with a field of another type refused a whole page, and one route a whole configuration. Change: items of a page, entries and routes are converted one by one, and any error leaves out that value alone (guard.convert_each). Addresses are decimal digits, with a port above 0 and a host that can be a host. Ruled out: a longer list of errors; which one a value raises depends on the value and the library. A limit on nesting would still leave the other errors.

--- a/src/bramleypin/internal/address.py
+++ b/src/bramleypin/internal/address.py
@@ -25,9 +25,25 @@
     host, _, port = text.rpartition(":")
     try:
         ipaddress.IPv4Address(host)
-        port_number = int(port)
+        # ``int`` alone also accepts signs, blanks and other scripts' digits.
+        port_number = int(port) if port.isascii() and port.isdecimal() else -1
     except ValueError as error:
         raise errors.InvalidFrame("bad_address", text) from error
     if not 0 <= port_number <= 65535:
         raise errors.InvalidFrame("bad_address", text)
     return Address(host, port_number)
+
+
+def parse_remote(text: str) -> Address:
+    """Parse the address at which one other host receives datagrams.
+
+    :raises errors.InvalidFrame: as ``parse`` does, and if the port is 0 or the
+        host is a multicast, broadcast or unspecified address.
+    """
+    parsed = parse(text)
+    host = ipaddress.IPv4Address(parsed.host)
+    if not parsed.port or host.is_multicast or host.is_unspecified:
+        raise errors.InvalidFrame("bad_address", text)
+    if host == ipaddress.IPv4Address("255.255.255.255"):
+        raise errors.InvalidFrame("bad_address", text)
+    return parsed
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal.observe import logs
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import view
 
@@ -19,8 +19,6 @@
 IDEMPOTENT_ROUTE_TYPES = frozenset(("safe", "download"))
 ENDPOINT_STATES = ("ready", "draining")
 
-_UNDECODABLE = (msgspec.MsgspecError, errors.InvalidFrame, OSError, ValueError)
-
 _log = logs.get("store")
 
 
@@ -67,7 +65,7 @@
 
 class _Configuration(msgspec.Struct, frozen=True):
     version: int
-    routes: list[_Route]
+    routes: list[msgspec.Raw]
     services: list[_Service]
     limits: _Limits = _Limits()
 
@@ -90,7 +88,7 @@
     entry = msgspec.json.decode(_decode_value(item), type=_EndpointEntry)
     if entry.state not in ENDPOINT_STATES:
         raise ValueError(f"unknown endpoint state {entry.state!r}")
-    host = address.parse(entry.address).host
+    host = address.parse_remote(entry.address).host
     return view.Endpoint(
         id=item.key.removeprefix(ENDPOINT_PREFIX),
         service=entry.service,
@@ -106,7 +104,8 @@
     )
 
 
-def _decode_route(route: _Route) -> view.Route:
+def _decode_route(value: msgspec.Raw) -> view.Route:
+    route = msgspec.json.decode(value, type=_Route)
     weights = [(backend.service, backend.weight) for backend in route.backends]
     if route.service:
         weights = [(route.service, 1.0)]
@@ -125,7 +124,9 @@
 
 def _decode_configuration(item: Item) -> view.Configuration:
     decoded = msgspec.json.decode(_decode_value(item), type=_Configuration)
-    routes = [_decode_route(route) for route in decoded.routes]
+    routes = guard.convert_each(
+        decoded.routes, _decode_route, _log, "skipped a route"
+    )
     return view.Configuration(
         version=decoded.version,
         route_by_address={(route.host, route.port): route for route in routes},
@@ -142,6 +143,16 @@
     )
 
 
+def decode_items(values: list[msgspec.Raw]) -> list[Item]:
+    """Return the items of a page that can be decoded."""
+    return guard.convert_each(
+        values,
+        lambda value: msgspec.json.decode(value, type=Item),
+        _log,
+        "skipped an item of a page",
+    )
+
+
 def decode(
     items: list[Item], revision: int, now_s: float, complete: bool
 ) -> view.Changes:
@@ -171,7 +182,9 @@
                 out_by_domain[domain] = exists
             elif item.key == CONFIGURATION_KEY and exists:
                 configuration = _decode_configuration(item)
-        except _UNDECODABLE as error:
+        except Exception as error:
+            # Another writer's value may raise anything, and one that stopped
+            # the reader would keep every later change from all daemons.
             skipped_count += 1
             _log.warn_throttled(
                 item.key,
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -11,6 +11,7 @@
 
 from bramleypin import errors
 from bramleypin.internal import address
+from bramleypin.internal.net import http_client
 from bramleypin.internal.stream import segment
 from bramleypin.platform import boot
 from bramleypin.platform import decoding
@@ -170,6 +171,10 @@
             ("missing", {"service": "desk"}),
             ("type", {**ENDPOINT_ENTRY, "slots": "many"}),
             ("address", {**ENDPOINT_ENTRY, "address": "host:1"}),
+            ("port", {**ENDPOINT_ENTRY, "address": "10.0.1.1:+80"}),
+            ("port 0", {**ENDPOINT_ENTRY, "address": "10.0.1.1:0"}),
+            ("no host", {**ENDPOINT_ENTRY, "address": "0.0.0.0:80"}),
+            ("all hosts", {**ENDPOINT_ENTRY, "address": "224.0.0.1:80"}),
             ("list", [1, 2]),
             ("no json", b"\xff\xfe"),
         ]
@@ -186,6 +191,27 @@
         self.assertEqual(["good"], [e.id for e in decoded.endpoints])
         self.assertEqual(("bad",), decoded.removed_ids)
 
+    def test_a_route_that_cannot_be_decoded_keeps_no_other_out(self):
+        """Guards against one odd route that holds a configuration back."""
+        route = {"name": "r", "hostname": "198.18.0.1", "service": "desk"}
+        configuration = {
+            "version": 3,
+            "routes": [
+                {**route, "prefix": "/http/"},
+                {**route, "prefix": "/443/"},
+                {**route, "prefix": "/444/", "priority": []},
+            ],
+            "services": [{"name": "desk"}],
+        }
+        decoded = decoding.decode(
+            [item("op/config", configuration)], 9, 0.0, False
+        )
+        self.assertEqual(3, decoded.configuration.version)
+        self.assertEqual(
+            [443],
+            [port for _, port in decoded.configuration.route_by_address],
+        )
+
     def test_the_last_change_of_a_key_takes_effect(self):
         """Guards against a removal that an earlier event reverts."""
         items = [
@@ -313,6 +339,15 @@
             self.assertIsInstance(result, errors.PlatformUnavailable)
         self.assertEqual(6, results[6].revision)
 
+    def test_an_item_that_cannot_be_read_keeps_no_other_out(self):
+        """Guards against a page that is refused for one of its items."""
+        good = b'{"key":"servers/e","tombstone":1}'
+        bad = (b'{"key":"servers/\xff"}', b'{"revision":null}', b"[]")
+        body = b'{"as_of":5,"events":[%s]}' % b",".join((*bad, good))
+        head = b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body)
+        (changes,) = self.run_watches([head + body])
+        self.assertEqual((5, ("e",)), (changes.revision, changes.removed_ids))
+
     @parameterized.parameterized.expand(
         [
             ("empty_page", []),
@@ -326,14 +361,14 @@
         page = {"as_of": 3, "items": items, "has_more": True}
 
         async def get(connection, path, query, timeout_s):
-            return msgspec.convert(page, store._Page)
+            return msgspec.json.decode(json.dumps(page), type=store._Page)
 
         async def main():
             client = store.StoreClient(address.Address("127.0.0.1", 1))
             with self.assertRaises(errors.PlatformUnavailable):
                 await client.read()
 
-        with mock.patch.object(store._Connection, "get", get):
+        with mock.patch.object(store._Connection, "get_page", get):
             anyio.run(main)
 
     def test_a_slow_response_is_read_to_its_end(self):
@@ -370,7 +405,7 @@
                 tasks.cancel_scope.cancel()
             return decoded, receiving_states, client.receiving
 
-        with mock.patch.object(store, "READ_TIMEOUT_S", 0.5):
+        with mock.patch.object(http_client, "READ_TIMEOUT_S", 0.5):
             decoded, receiving_states, receiving_after_read = anyio.run(main)
         self.assertGreater(len(parts) * 0.1, 0.5)
         self.assertEqual(3, decoded.revision)
