Refuse frames that are too long, and keep loops running after an error

Cause: frames.encode() packed any length into 16 bits, so a delta with a string of 70 KB raised struct.error, and one above 4,096 bytes was sent and discarded by every receiver. The relay's loop, like five other loops, was not guarded as handlers and timers are, so the error ended the daemon. Change: encode() refuses a frame that is too long (errors.FrameTooLong); a relay whose delta does not fit sends the revision alone, so that its followers read the store; other such frames are counted and dropped. The loops of relay, reports, view reader, view exchange and balancer go on after an unexpected error. A relay confirms an answer only once it is applied. A delta is encoded once for all followers, not once for each. Ruled out: splitting a long list of removed ids over several deltas: a lost one would not be noticed, as all have the same base revision.

--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -173,6 +173,16 @@
         super().__init__(f"{reason}: {detail}" if detail else reason)
 
 
+class FrameTooLong(BramleypinError):
+    """Raised when a message takes more bytes than a frame may have."""
+
+    def __init__(self, kind: str, size_bytes: int, limit_bytes: int):
+        self.size_bytes = size_bytes
+        super().__init__(
+            f"{kind} takes {size_bytes} bytes; a frame has {limit_bytes}"
+        )
+
+
 class InvalidPin(InvalidFrame):
     """Raised when a pin is malformed or its MAC matches no valid key."""
 
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -117,7 +117,9 @@
     async def run(self) -> None:
         """Route callers' packets until the port is closed."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._purge_idle_flows)
+            tasks.start_soon(
+                guard.keep_running, self._metrics, self._purge_idle_flows
+            )
             tasks.start_soon(self._route_early_packets)
             await datagram.serve(self._port, self._on_datagram)
 
--- a/src/bramleypin/internal/stream/exchange.py
+++ b/src/bramleypin/internal/stream/exchange.py
@@ -11,6 +11,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import view as view_module
 
 POLL_INTERVAL_S = 0.25
@@ -143,13 +144,14 @@
                 self.kernel.settings.peers,
                 self._answer_request,
             )
-            while True:
-                await anyio.sleep(
-                    POLL_INTERVAL_S * (0.5 + self._random.random())
-                )
-                host = self._choose_peer()
-                if host:
-                    await self._fetch(host)
+            await guard.keep_running(self._metrics, self._fetch_periodically)
+
+    async def _fetch_periodically(self) -> None:
+        while True:
+            await anyio.sleep(POLL_INTERVAL_S * (0.5 + self._random.random()))
+            host = self._choose_peer()
+            if host:
+                await self._fetch(host)
 
     async def _answer_request(self, link: environment.ControlLink) -> None:
         try:
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -192,8 +192,16 @@
 
 
 def encode(body: Message, packet: bytes = b"") -> bytes:
-    """Return a frame that carries a message and an optional packet."""
+    """Return a frame that carries a message and an optional packet.
+
+    :raises errors.FrameTooLong: when it exceeds ``MAX_FRAME_BYTES``, above
+        which receivers discard a frame.
+    """
     header = cbor2.dumps(msgspec.to_builtins(body))
+    size_bytes = _PREFIX.size + len(header) + len(packet)
+    if size_bytes > MAX_FRAME_BYTES:
+        name = type(body).__name__
+        raise errors.FrameTooLong(name, size_bytes, MAX_FRAME_BYTES)
     prefix = _PREFIX.pack(_KIND_BY_MESSAGE[type(body)], len(header))
     return prefix + header + packet
 
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -5,6 +5,7 @@
 from bramleypin import errors
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.net import datagram
+from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
@@ -19,8 +20,16 @@
     "frames",
     "Datagrams of other daemons that are no frame.",
 )
+FRAMES_TOO_LONG = metrics.declare(
+    "stream.frames_too_long",
+    "counter",
+    "frames",
+    "Frames that were not sent, as they exceed the receivers' limit.",
+)
 RECENT_PEER_S = 5.0
 
+_log = logs.get("peer_port")
+
 Handler = typing.Callable[[typing.Any, bytes, str], None]
 
 
@@ -60,14 +69,27 @@
         self, host: str, message: frames.Message, packet: bytes = b""
     ) -> None:
         """Send a frame to the daemon on a host."""
-        data = frames.encode(message, packet)
-        self._port.send(data, (host, self._port_number))
+        self._send_frame((host,), message, packet)
 
     def send_to_all(
         self, hosts: typing.Iterable[str], message: frames.Message
     ) -> None:
         """Send the same message to the daemons on several hosts."""
-        data = frames.encode(message)
+        self._send_frame(hosts, message, b"")
+
+    def _send_frame(
+        self,
+        hosts: typing.Iterable[str],
+        message: frames.Message,
+        packet: bytes,
+    ) -> None:
+        """Send a frame; one that is too long is dropped, like a lost one."""
+        try:
+            data = frames.encode(message, packet)
+        except errors.FrameTooLong as error:
+            self._metrics.count(FRAMES_TOO_LONG)
+            _log.warn_throttled("long", "frame not sent", error=str(error))
+            return
         for host in hosts:
             self._port.send(data, (host, self._port_number))
 
--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import typing
 import zlib
 
 import anyio
@@ -16,6 +17,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import recent_hosts
 from bramleypin.internal.stream import view as view_module
 from bramleypin.internal.stream import view_delta
@@ -183,7 +185,7 @@
             while not self._view_manager.view.endpoint_by_id:
                 await self._view_manager.wait_for_change()
             while True:
-                self._query_relays()
+                guard.call(self._metrics, self._query_relays)
                 await anyio.sleep(
                     self._query_interval_s * (0.8 + 0.4 * random.random())
                 )
@@ -208,26 +210,25 @@
                 self._announced_view,
                 self._view_manager.view,
             )
-            hosts = self._followers.newest_first()
-            if not hosts:
-                continue
-            now_s = anyio.current_time()
-            deltas = view_delta.deltas_between(
-                old, self._announced_view, now_s
-            )
-            for host in hosts:
-                for delta in deltas:
-                    self._peers.send(host, delta)
-                if not deltas:
-                    # The change does not fit into a frame. Send only the
-                    # new revision number, so that the followers read the
-                    # store.
-                    self._send_answer(host)
-
-    def _send_answer(self, host: str) -> None:
+            guard.call(self._metrics, self._announce_change, old)
+
+    def _announce_change(self, old: view_module.View) -> None:
+        hosts = self._followers.newest_first()
+        if not hosts:
+            return
+        now_s = anyio.current_time()
+        deltas = view_delta.deltas_between(old, self._announced_view, now_s)
+        for delta in deltas:
+            self._peers.send_to_all(hosts, delta)
+        if not deltas:
+            # The change does not fit into a frame. Send only the new revision
+            # number, so that the followers read the store.
+            self._send_answer(hosts)
+
+    def _send_answer(self, hosts: typing.Iterable[str]) -> None:
         revision = self._view_manager.view.revision
-        self._peers.send(
-            host, RelayAnswer(revision, self._is_view_confirmed())
+        self._peers.send_to_all(
+            hosts, RelayAnswer(revision, self._is_view_confirmed())
         )
 
     def _on_query(self, message: RelayQuery, _: bytes, host: str) -> None:
@@ -236,7 +237,7 @@
         self._followers.record(host)
         # This daemon is now a relay and must watch the store itself.
         self._confirmation_changed.set()
-        self._send_answer(host)
+        self._send_answer((host,))
 
     def _on_answer(self, message: RelayAnswer, _: bytes, host: str) -> None:
         relay = self._relay_by_host.get(host)
--- a/src/bramleypin/internal/stream/reports.py
+++ b/src/bramleypin/internal/stream/reports.py
@@ -4,6 +4,7 @@
 
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import recent_hosts
 from bramleypin.internal.stream import stream_admission
 
@@ -41,7 +42,7 @@
 @kernel_module.service(
     "reports",
     roles=("stream_agent",),
-    needs=("view", "peer_port", "stream_admission"),
+    needs=("view", "peer_port", "stream_admission", "metrics"),
 )
 class LoadReports(kernel_module.Service):
     """Sends load reports to the balancers that use this agent.
@@ -55,6 +56,7 @@
         self._view_manager = kernel.get("view")
         self._peers = kernel.get("peer_port")
         self._admission = kernel.get("stream_admission")
+        self._metrics = kernel.get("metrics")
         self._recipients = recent_hosts.RecentHosts(RECIPIENT_TIMEOUT_S)
         self._offering = recent_hosts.RecentHosts(OFFER_AGE_S)
         self._last_report: frames.Report | None = None
@@ -96,10 +98,13 @@
         While the queue is full, unchanged reports are sent too.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._offer_free_slots)
+            tasks.start_soon(
+                guard.keep_running, self._metrics, self._offer_free_slots
+            )
             while True:
                 await anyio.sleep(REPORT_INTERVAL_S)
-                self._report_changes(anyio.current_time())
+                now_s = anyio.current_time()
+                guard.call(self._metrics, self._report_changes, now_s)
 
     def _report_changes(self, now_s: float) -> None:
         report = self.current_report()
--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from bramleypin import errors
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
@@ -178,8 +179,8 @@
 
     Large changes are split into several deltas. Removals and the
     configuration come first, so a daemon that misses a later delta still has
-    every change up to the revision it has reached. The list is empty if the
-    change of the configuration does not fit a frame.
+    every change up to the revision it has reached. The list is empty if one
+    of them does not fit a frame.
     """
     changed_endpoints = sorted(
         (
@@ -225,6 +226,11 @@
             )
         )
         base, removed_ids = revision, []
+    try:
+        for delta in deltas:
+            frames.encode(delta)
+    except errors.FrameTooLong:
+        return []
     return deltas
 
 
--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -9,6 +9,7 @@
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import view as view_module
 from bramleypin.internal.stream import view_manager
 
@@ -105,49 +106,53 @@
 
     async def run(self) -> None:
         """Read the store until cancelled, retrying after failures."""
-        retry_s = MIN_RETRY_S
-        outage_started_s: float | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._remove_lapsed_periodically)
-            await self._list_store()
-            while True:
-                await self._relay.wait_until_unconfirmed()
-                # An unanswered request fails long after the outage began, so
-                # the outage is measured from the start of the request.
-                request_started_s = anyio.current_time()
-                try:
-                    results = await self._next_changes()
-                except errors.PlatformHistoryLost as error:
-                    _log.info(
-                        "store history lost, listing again", reason=str(error)
-                    )
-                    self._listing_complete = False
-                    continue
-                except errors.PlatformUnavailable as error:
-                    if outage_started_s is None:
-                        outage_started_s = request_started_s
-                    self._record_failure(
-                        error, request_started_s - outage_started_s
-                    )
-                    await anyio.sleep(retry_s * (0.5 + self._random.random()))
-                    retry_s = min(MAX_RETRY_S, 2 * retry_s)
-                    continue
-                if outage_started_s is not None:
-                    outage_s = anyio.current_time() - outage_started_s
-                    _log.info(
-                        "the store answers again", after_s=round(outage_s, 3)
-                    )
-                    if outage_s > MIN_OUTAGE_S:
-                        self._view_manager.delay_removals()
-                retry_s, outage_started_s = MIN_RETRY_S, None
-                self.store_failing = False
-                self._metrics.count(STORE_CALLS_ANSWERED)
-                self._relay.record_store_answer()
-                old_revision = self._view_manager.view.revision
-                self._apply(results)
-                self._listing_complete = True
-                if self._view_manager.view.revision > old_revision:
-                    await anyio.sleep(self._group_delay_s())
+            await guard.keep_running(self._metrics, self._list_store)
+            await guard.keep_running(self._metrics, self._follow_store)
+
+    async def _follow_store(self) -> None:
+        retry_s = MIN_RETRY_S
+        outage_started_s: float | None = None
+        while True:
+            await self._relay.wait_until_unconfirmed()
+            # An unanswered request fails long after the outage began, so
+            # the outage is measured from the start of the request.
+            request_started_s = anyio.current_time()
+            try:
+                results = await self._next_changes()
+            except errors.PlatformHistoryLost as error:
+                _log.info(
+                    "store history lost, listing again", reason=str(error)
+                )
+                self._listing_complete = False
+                continue
+            except errors.PlatformUnavailable as error:
+                if outage_started_s is None:
+                    outage_started_s = request_started_s
+                self._record_failure(
+                    error, request_started_s - outage_started_s
+                )
+                await anyio.sleep(retry_s * (0.5 + self._random.random()))
+                retry_s = min(MAX_RETRY_S, 2 * retry_s)
+                continue
+            if outage_started_s is not None:
+                outage_s = anyio.current_time() - outage_started_s
+                _log.info(
+                    "the store answers again", after_s=round(outage_s, 3)
+                )
+                if outage_s > MIN_OUTAGE_S:
+                    self._view_manager.delay_removals()
+            retry_s, outage_started_s = MIN_RETRY_S, None
+            self.store_failing = False
+            self._metrics.count(STORE_CALLS_ANSWERED)
+            old_revision = self._view_manager.view.revision
+            self._apply(results)
+            # A relay must not confirm a view that lacks these changes.
+            self._relay.record_store_answer()
+            self._listing_complete = True
+            if self._view_manager.view.revision > old_revision:
+                await anyio.sleep(self._group_delay_s())
 
     def _group_delay_s(self) -> float:
         """Return the time after a change until the next watch, in seconds."""
@@ -240,10 +245,10 @@
             self._record_failure(error, anyio.current_time() - started_s)
             return
         if not self._listing_complete:
-            self._listing_complete = True
-            self._relay.record_store_answer()
             self._view_manager.record_first_listing()
             self._apply(results)
+            self._relay.record_store_answer()
+            self._listing_complete = True
         attempts.cancel()
 
     async def _next_changes(self) -> tuple[view_module.Changes, ...]:
@@ -265,4 +270,4 @@
     async def _remove_lapsed_periodically(self) -> None:
         while True:
             await anyio.sleep(self.kernel.settings.bounds.reregistration_s / 4)
-            self._view_manager.remove_lapsed()
+            guard.call(self._metrics, self._view_manager.remove_lapsed)
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -400,6 +400,23 @@
             [], view_delta.deltas_between(old_view, new_view, 0.0)
         )
 
+    @parameterized.parameterized.expand([(4_096,), (70_000,)])
+    def test_a_registration_that_fits_no_frame_is_not_sent(self, characters):
+        """Guards against an encoder that ends the relay or is ignored.
+
+        70,000 bytes exceed the length field of a frame as well.
+        """
+        old_view, new_view = self.views(2)
+        long_endpoint = dataclasses.replace(
+            new_view.endpoint_by_id["e1"], service="s" * characters
+        )
+        new_view = dataclasses.replace(
+            new_view, endpoint_by_id={"e1": long_endpoint}
+        )
+        self.assertEqual(
+            [], view_delta.deltas_between(old_view, new_view, 0.0)
+        )
+
     def test_the_longest_delta_fits_a_frame(self):
         """Guards against frames above the receivers' limit of 4,096 bytes."""
         old_view, new_view = self.views(60)
--- a/tests/failures/test_stream_robustness.py
+++ b/tests/failures/test_stream_robustness.py
@@ -18,6 +18,7 @@
 from bramleypin.internal.stream import relay
 from bramleypin.internal.stream import reports
 from bramleypin.internal.stream import trials
+from bramleypin.internal.stream import view_manager
 from bramleypin.internal.stream import view_reader
 from bramleypin.standins import stream_fleet
 from tests.failures import test_kept_flows
@@ -46,6 +47,12 @@
     (relay.Relay, "_on_query"),
     (relay.Relay, "_on_answer"),
     (relay.Relay, "_on_delta"),
+    (relay.Relay, "_query_relays"),
+    (relay.Relay, "_announce_change"),
+    (reports.LoadReports, "_report_changes"),
+    (reports.LoadReports, "current_report"),
+    (exchange.ViewExchange, "_choose_peer"),
+    (view_manager.ViewManager, "apply"),
 )
 
 
