Bound the names and numbers of a registration

Cause: an entry's numbers and names had no bounds. An integer of 4,000 digits becomes `slots` and raises OverflowError where it meets a float, at an agent and at each balancer that considers the endpoint; a long name costs a call to the store for each follower and change, as no delta carries it. Change: at the border, names have 255 characters at most, slots 1,000,000 and a start time 63 bits; an entry beyond names no host. Ruled out: bounds in the view or at each use, which every new use would need. Measured: three new cases of the decoder fail without the bounds; 77 tests of these modules pass.

--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -9,6 +9,11 @@
 # Idle timeout of flows until a configuration is loaded. RFC 9293 leaves the
 # value to the implementation.
 DEFAULT_IDLE_S = 15.0
+# Bounds of a registration, so that its record fits one frame between daemons
+# and its numbers can be used in computations.
+MAX_NAME_CHARACTERS = 255
+MAX_SLOTS = 1_000_000
+MAX_STARTED_MS = 2**63 - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -19,6 +19,10 @@
 IDEMPOTENT_ROUTE_TYPES = frozenset(("safe", "download"))
 ENDPOINT_STATES = ("ready", "draining")
 
+_Name = typing.Annotated[
+    str, msgspec.Meta(max_length=view.MAX_NAME_CHARACTERS)
+]
+
 _log = logs.get("store")
 
 
@@ -71,13 +75,13 @@
 
 
 class _EndpointEntry(msgspec.Struct, frozen=True):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: str
-    slots: int
+    slots: typing.Annotated[int, msgspec.Meta(le=view.MAX_SLOTS)]
     cold_remaining_ms: float = 0.0
-    born: int = 0
+    born: typing.Annotated[int, msgspec.Meta(le=view.MAX_STARTED_MS)] = 0
 
 
 def _decode_value(item: Item) -> bytes:
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -175,6 +175,9 @@
             ("port 0", {**ENDPOINT_ENTRY, "address": "10.0.1.1:0"}),
             ("no host", {**ENDPOINT_ENTRY, "address": "0.0.0.0:80"}),
             ("all hosts", {**ENDPOINT_ENTRY, "address": "224.0.0.1:80"}),
+            ("slots", {**ENDPOINT_ENTRY, "slots": 10**30}),
+            ("born", {**ENDPOINT_ENTRY, "born": 10**30}),
+            ("name", {**ENDPOINT_ENTRY, "service": "s" * 300}),
             ("list", [1, 2]),
             ("no json", b"\xff\xfe"),
         ]
