Choose no relay among entries whose service the configuration does not name

Cause: relays_for() took any registered host. An entry of another writer with a service that is not named, a failure domain and an address of which nobody answers became the relay of that domain if its hash was the lowest. Change: only hosts of named services are relays. Ruled out: leaving such hosts out of the search for a flow's owner as well: a flow stays at its host when a configuration drops the service, and a process that started since knows of it from the registration alone. So a search with such an entry never counts as settled, and a lost flow waits for its caller's time-out; nothing breaks.

--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -92,11 +92,13 @@
     One agent in each failure domain is a relay, chosen by a hash so that all
     daemons choose the same. A daemon follows the relay of its own domain and
     that of the next one, in the order of their names. A relay follows no
-    other relay, because the changes that it sends would return to it.
+    other relay, because the changes that it sends would return to it. A host
+    whose service the configuration does not name may have no agent.
     """
     relay_by_domain: dict[str, tuple[int, str]] = {}
+    service_by_name = view.configuration.service_by_name
     for endpoint in view.endpoint_by_id.values():
-        if endpoint.draining:
+        if endpoint.draining or endpoint.service not in service_by_name:
             continue
         candidate = (zlib.crc32(endpoint.host.encode()), endpoint.host)
         failure_domain = endpoint.failure_domain
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -171,6 +171,32 @@
         with mock.patch.object(relay, "relays_for", each_other):
             self.assertEqual([], test_stream_flows.run_scenario(scenario))
 
+    def test_an_entry_of_an_unknown_service_is_no_relay(self):
+        """Guards against registrations without an agent that end relaying.
+
+        All daemons would watch the store then, each for itself.
+        """
+
+        async def scenario(fleet):
+            await start_fleet(fleet)
+            relays = relay_hosts(fleet)
+            for number, domain in enumerate("abc" * 20):
+                fleet.store.put(
+                    fleet.registration(
+                        "e0",
+                        "unknown",
+                        id=f"foreign-{number}",
+                        host=f"10.0.9.{number}",
+                        failure_domain=domain,
+                    )
+                )
+            await anyio.sleep(2 * CHANGE_S)
+            return relays, relay_hosts(fleet)
+
+        relays, relays_after = test_stream_flows.run_scenario(scenario)
+        self.assertEqual(3, len(relays))
+        self.assertEqual(relays, relays_after)
+
     def test_a_daemon_that_joins_costs_two_calls_at_most(self):
         """Guards against starts that read the store again and again.
 
