Let an agent refuse a flow whose route has moved to another service

Cause: an agent took every offer for its own service, though its own configuration no longer routed the address there. A balancer that was behind delivered by its old configuration for as long as it was behind. An opening that waited at a balancer kept its first service, too. Change: an admission check compares the route with the agent's configuration, unless the balancer's is newer. Ruled out: refusing every offer with an older version: most changes leave the route as it is.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -88,6 +88,7 @@
         reason = self._admission.check_admission(
             stream_admission.AdmissionRequest(
                 offer,
+                packet.destination,
                 self.flows.running_requests,
                 self.flows.open_flow_count,
                 is_last=not offer.fallback_hosts,
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -176,6 +176,9 @@
             self._remove(opening)
             self.on_open_elsewhere(opening)
             return True
+        if not self._update_route(opening):
+            self._refuse(opening, "no route")
+            return True
         now_s = anyio.current_time()
         if now_s - opening.started_s > MAX_OPENING_AGE_S:
             self._refuse(opening, "no endpoint in time")
@@ -221,6 +224,24 @@
         self._loads.count_offer(opening.host)
         return True
 
+    def _update_route(self, opening: Opening) -> bool:
+        """Apply the route in force to an opening; false if there is none.
+
+        It may have moved to another service while the opening waited.
+        """
+        configuration = self._view_manager.view.configuration
+        address = (opening.flow.service_host, opening.flow.service_port)
+        route = configuration.route_by_address.get(address)
+        if route is None:
+            return False
+        if route is not opening.route:
+            opening.route = route
+            service = route.service_for(opening.flow)
+            if service != opening.service:
+                opening.service = service
+                opening.tried_hosts.clear()
+        return True
+
     def _postpone(
         self, opening: Opening, now_s: float, is_late: bool, hosts: list[str]
     ) -> None:
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -27,6 +27,7 @@
 class AdmissionRequest:
     """An opening and the endpoint's load, as input of the admission checks.
 
+    ``destination`` is the service address of the opening.
     ``running_requests`` and ``open_flow_count`` are the numbers of the
     endpoint's requests and flows. ``is_last`` is true when no other endpoint
     is left to ask, ``has_highest_priority`` when no route of the service has
@@ -34,6 +35,7 @@
     """
 
     offer: frames.Offer
+    destination: tuple[int, int]
     running_requests: int
     open_flow_count: int
     is_last: bool
@@ -172,6 +174,17 @@
     return request.offer.service != admission.settings.service
 
 
+@CHECKS.register("route moved")
+def _route_moved(
+    admission: StreamAdmission, request: AdmissionRequest
+) -> bool:
+    configuration = admission.view.configuration
+    if request.offer.version > configuration.version:
+        return False
+    route = configuration.route_by_address.get(request.destination)
+    return route is None or not route.allows(admission.settings.service)
+
+
 @CHECKS.register("leaving")
 def _leaving(admission: StreamAdmission, request: AdmissionRequest) -> bool:
     return admission.leaving
--- a/tests/cover/test_stream_admission.py
+++ b/tests/cover/test_stream_admission.py
@@ -78,11 +78,18 @@
     has_highest_priority=True,
     service="desk",
     revision=9,
+    version=1,
+    port=443,
 ) -> stream_admission.AdmissionRequest:
     """Return an opening as input of the admission checks."""
-    offer = frames.Offer(1, "10.0.0.1", service, 1, revision, [], [])
+    offer = frames.Offer(1, "10.0.0.1", service, version, revision, [], [])
     return stream_admission.AdmissionRequest(
-        offer, running_requests, open_flow_count, is_last, has_highest_priority
+        offer,
+        (stream_fleet.SERVICE_HOST, port),
+        running_requests,
+        open_flow_count,
+        is_last,
+        has_highest_priority,
     )
 
 
@@ -108,6 +115,8 @@
     @parameterized.parameterized.expand(
         [
             ("", make_view(), request()),
+            ("route moved", make_view(), request(port=444)),
+            ("", make_view(), request(port=444, version=2)),
             ("no view", make_view(version=-1), request()),
             ("other service", make_view(), request(service="archive")),
             ("draining", make_view(draining=True), request()),
--- a/tests/failures/test_stream_flows.py
+++ b/tests/failures/test_stream_flows.py
@@ -324,6 +324,50 @@
         self.assertLess(dropped_route_outcome.seconds, 0.05)
         self.assertEqual("answered", new_route_outcome.kind)
 
+    def test_no_agent_takes_a_flow_by_a_route_that_has_moved(self):
+        """Guards against the configuration of a balancer that is behind.
+
+        The balancer learns the change while the opening waits, and then
+        offers it to the service that the route names now.
+        """
+
+        async def scenario(fleet):
+            caller = await start_fleet(fleet, endpoints=2, balancers=1)
+            fleet.add_endpoint("f0", "10.0.2.1", "a", service="other")
+            await anyio.sleep(3.0)
+            manager = fleet.balancer_by_name["b0"].kernel.get("view")
+            manager.apply = lambda changes: None
+            manager.install_if_newer = lambda peer_view: False
+            fleet.store.configure(
+                stream_fleet.configuration(
+                    2, stream_fleet.route(service="other")
+                )
+            )
+            await anyio.sleep(3.0)
+            outcomes = []
+
+            async def request():
+                outcomes.append(await caller.request(SERVICE))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(request)
+                await anyio.sleep(0.5)
+                version_before = manager.view.configuration.version
+                del manager.apply, manager.install_if_newer
+            return (
+                version_before,
+                outcome_kinds(outcomes),
+                [
+                    len(fleet.endpoint_by_name[name].openings)
+                    for name in ("e0", "e1", "f0")
+                ],
+            )
+
+        version_before, kinds, openings_by_endpoint = run_scenario(scenario)
+        self.assertEqual(1, version_before)
+        self.assertEqual([0, 0, 1], openings_by_endpoint)
+        self.assertEqual({"answered"}, kinds)
+
     def test_a_daemon_that_the_store_refuses_asks_other_daemons(self):
         """Guards against an old version at a daemon cut off from the store."""
 
