Tell flows apart that use the same addresses and ports one after the other

Cause: balancers and agents knew a flow by its addresses and ports alone. A balancer forwarded an opening to the owner of the earlier flow, and its agent passed it to the endpoint without an admission check. An agent that still had the entry of an ended flow said that it held the new one. Change: the sequence number of an opening, which its copies share, belongs to the flow's entry at balancer and agent; another one is a new flow and passes admission. Other packets belong to a flow if what they acknowledge is within 76,800 bytes of the endpoint's latest data, the distance that is in use for late data. A lookup carries the opening's sequence number. A late FIN of an earlier flow is dropped like its late data. The callers of the simulated deployment can use a port again and close flows. Ruled out: forgetting a flow's owner when it is closed: a balancer sees only one direction, and the flow's last packets may pass through another balancer.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -79,12 +79,14 @@
         self._views.last_use_s = anyio.current_time()
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
-        if entry is not None and entry.ended_s is None:
+        if (
+            entry is not None
+            and entry.ended_s is None
+            and entry.includes(packet.acknowledged, packet.opening_sequence)
+        ):
             self._forward_to_endpoint(entry, packet)
             self._reply(offer, "taken", "known")
             return
-        if entry is not None:
-            self.flows.forget(entry)
         reason = self._admission.check_admission(
             stream_admission.AdmissionRequest(
                 offer,
@@ -108,6 +110,7 @@
         self._metrics.count(agent_metrics.FLOWS_TAKEN)
         entry = self.flows.add(flow)
         entry.opening = packet.raw
+        entry.opening_sequence = packet.opening_sequence
         entry.origin_host = offer.origin_host
         entry.offer = offer
         entry.offered_s = entry.created_s
@@ -221,7 +224,7 @@
             # The endpoint may hold flows from before this process started.
             entry = self.flows.add(flow)
             entry.established = True
-        elif entry.belongs_to_other_endpoint(packet):
+        elif not entry.includes(packet.acknowledged, packet.opening_sequence):
             self._return_packet(host, data)
             return
         entry.origin_host = host
@@ -270,7 +273,9 @@
 
     def _on_lookup(self, query: frames.Lookup, _: bytes, host: str) -> None:
         flow = segment.Flow(*query.flow)
-        answer = self.flows.answer_lookup(flow, query.acknowledged)
+        answer = self.flows.answer_lookup(
+            flow, query.acknowledged, query.opening_sequence
+        )
         self._peers.send(
             host,
             frames.LookupAnswer(
@@ -296,7 +301,7 @@
         if entry is None:
             entry = self.flows.add(flow)
             entry.established = not packet.syn
-        elif entry.is_foreign_data(packet):
+        elif entry.is_from_earlier_flow(packet):
             self._metrics.count(agent_metrics.LATE_ANSWERS_DROPPED)
             return
         entry.seen_s = anyio.current_time()
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -54,10 +54,14 @@
 
 @dataclasses.dataclass(slots=True)
 class FlowOwner:
-    """The agent that holds a flow, according to this balancer."""
+    """The agent that holds a flow, according to this balancer.
+
+    ``opening_sequence`` is that of the flow's opening, or -1 if unknown.
+    """
 
     host: str
     seen_s: float
+    opening_sequence: int = -1
 
 
 @kernel_module.service(
@@ -149,6 +153,8 @@
         if route is None:
             self._handle_unrouted(flow, packet)
             return
+        if packet.opening:
+            self._forget_earlier_flow(flow, packet)
         owner = self.owner_by_flow.get(flow)
         if owner is not None:
             owner.seen_s = now_s
@@ -171,6 +177,22 @@
         # another balancer before. An agent may already hold the flow.
         self._owners.search(packet)
 
+    def _forget_earlier_flow(
+        self, flow: segment.Flow, packet: segment.Segment
+    ) -> None:
+        """Forget a flow whose addresses and ports a new opening uses again.
+
+        Its packets would otherwise reach the earlier flow's endpoint, without
+        an admission check.
+        """
+        owner = self.owner_by_flow.get(flow)
+        if owner and owner.opening_sequence != packet.opening_sequence:
+            del self.owner_by_flow[flow]
+        opening = self._openings.opening_by_flow.get(flow)
+        if opening and opening.packet.sequence != packet.opening_sequence:
+            self._openings.abandon(opening)
+        self._lost_flows.discard(flow)
+
     def _handle_unrouted(
         self, flow: segment.Flow, packet: segment.Segment
     ) -> None:
@@ -199,7 +221,9 @@
         self._peers.send(owner.host, frames.Data(confirmed=True), packet.raw)
 
     def _on_taken(self, opening: openings_module.Opening, host: str) -> None:
-        owner = FlowOwner(host, anyio.current_time())
+        owner = FlowOwner(
+            host, anyio.current_time(), opening.packet.opening_sequence
+        )
         self._store_owner(opening.flow, owner)
         for packet in opening.waiting_packets:
             self._forward(owner, packet)
@@ -212,7 +236,7 @@
             self._owners.search(packet)
 
     def _on_found(self, search: owners_module.OwnerSearch, host: str) -> None:
-        owner = FlowOwner(host, anyio.current_time())
+        owner = FlowOwner(host, anyio.current_time(), search.opening_sequence)
         self._store_owner(search.flow, owner)
         if search.opening is not None:
             self._forward(owner, search.opening)
@@ -263,8 +287,8 @@
         if owner is None or owner.host != host:
             return
         del self.owner_by_flow[flow]
-        if packet.ack:
-            self._owners.search(packet)
+        if packet.ack or packet.opening:
+            self._route_packet(packet)
 
     def _store_owner(self, flow: segment.Flow, owner: FlowOwner) -> None:
         self.owner_by_flow[flow] = owner
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -14,14 +14,15 @@
 # answers them. The agent therefore keeps the flow for as long as either side
 # may retransmit: 8 times, up to 1.6 s apart.
 LINGER_S = 10.0
-# Callers abandon an opening after 1.4 s.
+# Callers abandon an opening after this time; they send no copy of it later.
+OPENING_TIMEOUT_S = 1.4
 HALF_OPEN_TIMEOUT_S = 3.0
 # Weight of a new sample in the moving average of the service time.
 SAMPLE_WEIGHT = 0.1
 # Time that a caller is assumed to wait for an answer if no route states one.
 DEFAULT_BUDGET_S = 10.0
-# A lookup with a lower number is about an opening, which carries the number of
-# earlier copies (far fewer than this) in place of an acknowledgement number.
+# Openings carry the number of earlier copies (far fewer than this) in place of
+# an acknowledgement number, and resets may carry 0.
 MAX_OPENING_COPIES = 8
 # Maximum number of flows that the endpoint is known not to hold.
 MAX_BOUNCED_FLOWS = 20_000
@@ -44,10 +45,12 @@
     """State of one flow at its endpoint.
 
     ``offer`` and ``opening`` (the offered packet) are kept until the endpoint
-    accepts the flow. ``origin_host`` is the balancer that sent the latest
-    packet, ``endpoint_sequence`` the sequence number of the endpoint's
-    SYN+ACK, or -1 until then. ``request_started_s`` is the time at which the
-    endpoint received a request that it has not answered yet.
+    accepts the flow. ``opening_sequence`` is the sequence number of that
+    packet, or -1 if this process has not seen it. ``origin_host`` is the
+    balancer that sent the latest packet, ``endpoint_sequence`` the sequence
+    number of the endpoint's SYN+ACK, or -1 until then.
+    ``request_started_s`` is the time at which the endpoint received a request
+    that it has not answered yet.
     ``measures_service_time`` marks a request that started in a free slot, so
     its duration does not include queueing. ``budget_s`` is the time that
     the caller waits for an answer. ``caller_position`` is the end of the data
@@ -60,6 +63,7 @@
     created_s: float
     seen_s: float
     opening: bytes = b""
+    opening_sequence: int = -1
     origin_host: str = ""
     offer: frames.Offer | None = None
     offered_s: float = 0.0
@@ -98,17 +102,22 @@
         self.endpoint_position = end
         return True
 
-    def is_foreign_data(self, packet: segment.Segment) -> bool:
-        """Return whether an endpoint's data is from an earlier flow.
+    def is_from_earlier_flow(self, packet: segment.Segment) -> bool:
+        """Return whether an endpoint's data or FIN is from an earlier flow.
 
         A caller may use the port of an ended flow again while its endpoint
         still sends copies of the last answer. Unknown for a flow that is
         older than this process, as its start was not seen.
         """
-        if not packet.data_bytes or self.endpoint_sequence < 0:
+        is_stream_part = packet.data_bytes or packet.fin
+        if not is_stream_part or packet.syn or self.endpoint_sequence < 0:
             return False
-        distance = _bytes_ahead(packet.sequence, self.endpoint_position)
-        return abs(distance) > MAX_POSITION_DISTANCE_BYTES
+        return not self._is_near(packet.sequence)
+
+    def _is_near(self, position: int) -> bool:
+        """Return whether a position is close to the endpoint's latest data."""
+        distance = _bytes_ahead(position, self.endpoint_position)
+        return abs(distance) <= MAX_POSITION_DISTANCE_BYTES
 
     def record_endpoint_sequence(self, sequence: int) -> None:
         """Record the sequence number of the endpoint's SYN+ACK."""
@@ -122,11 +131,24 @@
             return False
         return (acknowledged - self.endpoint_sequence) & SEQUENCE_MASK <= 1
 
-    def belongs_to_other_endpoint(self, packet: segment.Segment) -> bool:
-        """Return whether a packet acknowledges another endpoint's answer."""
-        if self.established or packet.opening or not packet.ack:
-            return False
-        return not self.is_acknowledged_by(packet.acknowledged)
+    def includes(self, acknowledged: int, opening_sequence: int) -> bool:
+        """Return whether a caller's packet is of this flow.
+
+        A flow with the same addresses and ports is another one if they are in
+        use again, or if two endpoints have accepted the same opening.
+        ``acknowledged`` and ``opening_sequence`` are those of the packet.
+        """
+        if opening_sequence >= 0:
+            if self.opening_sequence >= 0:
+                return opening_sequence == self.opening_sequence
+            age_s = anyio.current_time() - self.created_s
+            return self.ended_s is None and age_s < OPENING_TIMEOUT_S
+        if acknowledged < MAX_OPENING_COPIES:
+            # The packet acknowledges nothing.
+            return True
+        if not self.established:
+            return self.is_acknowledged_by(acknowledged)
+        return self.endpoint_position < 0 or self._is_near(acknowledged)
 
 
 class EndpointFlows:
@@ -154,7 +176,13 @@
         )
 
     def add(self, key: segment.Flow) -> EndpointFlow:
-        """Add a flow; its caller's address is converted to text only here."""
+        """Add a flow, which replaces an earlier one with the same key.
+
+        Its caller's address is converted to text only here.
+        """
+        earlier = self.flow_by_key.get(key)
+        if earlier is not None:
+            self.forget(earlier)
         now_s = anyio.current_time()
         address = (segment.ipv4_to_text(key.caller_host), self._caller_port)
         entry = EndpointFlow(key, address, now_s, now_s)
@@ -184,22 +212,20 @@
         """Return the time since this process started, in seconds."""
         return anyio.current_time() - self._started_s
 
-    def answer_lookup(self, key: segment.Flow, acknowledged: int) -> str:
+    def answer_lookup(
+        self, key: segment.Flow, acknowledged: int, opening_sequence: int
+    ) -> str:
         """Return ``holds``, ``maybe`` or ``no``: whether a flow is here.
 
-        ``acknowledged`` is the number in the caller's packet. If two endpoints
-        accepted the same opening, it shows which one the caller chose.
+        ``acknowledged`` and ``opening_sequence`` are those of the caller's
+        packet, as in ``EndpointFlow.includes``.
         """
         entry = self.flow_by_key.get(key)
         if entry is None:
             may_hold = self.started_recently() and not self.has_bounced(key)
             return "maybe" if may_hold else "no"
-        holds = (
-            entry.established
-            or acknowledged < MAX_OPENING_COPIES
-            or entry.is_acknowledged_by(acknowledged)
-        )
-        return "holds" if holds else "no"
+        includes = entry.includes(acknowledged, opening_sequence)
+        return "holds" if includes else "no"
 
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -139,14 +139,15 @@
     """Asks an agent whether it holds a flow.
 
     ``lookup`` is the number of the search, which the answer repeats.
-    ``acknowledged`` is the position that the caller's packet acknowledges.
-    When two endpoints have answered the same opening, it shows which of them
-    the caller is connected to.
+    ``acknowledged`` is the position that the caller's packet acknowledges and
+    ``opening_sequence`` its sequence number if it is an opening, otherwise -1.
+    They tell flows apart that use the same addresses and ports.
     """
 
     lookup: int
     flow: tuple[int, int, int, int]
     acknowledged: int
+    opening_sequence: int = -1
 
 
 @message(6)
--- a/src/bramleypin/internal/stream/lost_flows.py
+++ b/src/bramleypin/internal/stream/lost_flows.py
@@ -81,6 +81,10 @@
             heapq.heappush(self._searches, (search_s, search.flow))
             self._ticker.wake()
 
+    def discard(self, flow: segment.Flow) -> None:
+        """Forget a flow whose caller has begun another one instead."""
+        self._lost_by_flow.pop(flow, None)
+
     def _delay_s(
         self, search: owners.OwnerSearch, packet: segment.Segment
     ) -> float:
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -74,7 +74,7 @@
     """
 
     flow: segment.Flow
-    packet: bytes
+    packet: segment.Segment
     service: str
     route: view_module.Route
     started_s: float
@@ -146,7 +146,7 @@
         copies = min(packet.acknowledged, len(AGE_BY_COPY_S) - 1)
         opening = Opening(
             flow=flow,
-            packet=packet.raw,
+            packet=packet,
             service=route.service_for(flow),
             route=route,
             started_s=arrived_s - AGE_BY_COPY_S[copies],
@@ -155,6 +155,10 @@
         self._offer(opening)
         self._ticker.wake()
 
+    def abandon(self, opening: Opening) -> None:
+        """Forget an opening whose caller has begun another flow instead."""
+        self._remove(opening)
+
     def add_packet(self, opening: Opening, packet: segment.Segment) -> None:
         """Keep a packet of an opening's flow until the flow is taken."""
         if len(opening.waiting_packets) >= MAX_WAITING_PACKETS:
@@ -218,7 +222,7 @@
                 [] if is_late else hosts[1:],
                 is_late,
             ),
-            opening.packet,
+            opening.packet.raw,
         )
         opening.tried_hosts.append(opening.host)
         self._loads.count_offer(opening.host)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -77,6 +77,7 @@
     newest_revision: int = -1
     longest_uptime_s: float = 0.0
     acknowledged: int = 0
+    opening_sequence: int = -1
     asked_all: bool = False
 
     @property
@@ -156,6 +157,7 @@
             opening=packet if packet.opening else None,
             waiting_packets=[] if packet.opening else [packet],
             acknowledged=packet.acknowledged,
+            opening_sequence=packet.opening_sequence,
         )
         self.search_by_flow[flow] = search
         self._search_by_number[search.number] = search
@@ -166,7 +168,10 @@
 
     def _ask(self, search: OwnerSearch, hosts: list[str]) -> None:
         message = frames.Lookup(
-            search.number, search.flow, search.acknowledged
+            search.number,
+            search.flow,
+            search.acknowledged,
+            search.opening_sequence,
         )
         search.asked_hosts |= dict.fromkeys(hosts)
         self._peers.send_to_all(hosts, message)
--- a/src/bramleypin/internal/stream/segment.py
+++ b/src/bramleypin/internal/stream/segment.py
@@ -64,6 +64,15 @@
         """Whether the packet is a caller's request to open a flow."""
         return self.syn and not self.ack
 
+    @property
+    def opening_sequence(self) -> int:
+        """The sequence number of an opening; -1 for any other packet.
+
+        It is the same in all copies of an opening, and differs between flows
+        that use the same addresses and ports one after the other.
+        """
+        return self.sequence if self.opening else -1
+
     def flow_from_caller(self) -> Flow:
         """Return the flow of a packet sent by a caller."""
         return Flow(*self.source, *self.destination)
--- a/src/bramleypin/standins/stream_ends.py
+++ b/src/bramleypin/standins/stream_ends.py
@@ -15,6 +15,9 @@
 OPENING_SEND_TIMES_S = (0.0, 0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
 RETRANSMIT_INTERVAL_S = 0.2
+# Distance between the initial sequence numbers of flows that use a port one
+# after the other.
+SEQUENCE_STEP = 1 << 26
 MAX_RETRANSMIT_INTERVAL_S = 1.6
 SEQUENCE_MASK = 0xFFFFFFFF
 REQUEST_START = b"request "
@@ -61,6 +64,7 @@
         self.bounced_packets = 0
         self._codec = stream_codec.TestCodec()
         self._sequence_by_flow: dict[segment.Flow, int] = {}
+        self._opening_sequence_by_flow: dict[segment.Flow, int] = {}
         self._flows_with_request: set[segment.Flow] = set()
         self._request_end_by_flow: dict[segment.Flow, int] = {}
         self._sent_bytes_by_flow: dict[segment.Flow, int] = {}
@@ -73,6 +77,13 @@
         self._request_end_by_flow.clear()
         self._sent_bytes_by_flow.clear()
 
+    def _forget(self, flow: segment.Flow) -> None:
+        """Discard an earlier flow with the same addresses and ports."""
+        self._sequence_by_flow.pop(flow, None)
+        self._flows_with_request.discard(flow)
+        self._request_end_by_flow.pop(flow, None)
+        self._sent_bytes_by_flow.pop(flow, None)
+
     async def run(self) -> None:
         """Serve until cancelled."""
         self._port = await self.process.open_datagram_port(self.local_address)
@@ -86,6 +97,9 @@
     def _handle_packet(self, tasks, packet: segment.Segment) -> None:
         flow = packet.flow_from_caller()
         if packet.opening:
+            if self._opening_sequence_by_flow.get(flow) != packet.sequence:
+                self._forget(flow)
+                self._opening_sequence_by_flow[flow] = packet.sequence
             initial_sequence = self._sequence_by_flow.get(flow)
             if initial_sequence is None:
                 initial_sequence = self.process.random.getrandbits(32)
@@ -141,6 +155,11 @@
         """Send data at any position, e.g. a late copy of an answer."""
         self._send(flow, stream_codec.ACK, position, 0, data)
 
+    def send_end(self, flow: segment.Flow, position: int) -> None:
+        """Send a FIN at any position, e.g. a late one."""
+        flags = stream_codec.ACK | stream_codec.FIN
+        self._send(flow, flags, position, 0)
+
     async def _serve_request(self, flow: segment.Flow, sequence: int) -> None:
         async with self._free_slots:
             self.runs.append(FlowEvent(flow, anyio.current_time()))
@@ -148,7 +167,10 @@
         own_sequence = self._sequence_by_flow.get(flow)
         if own_sequence is not None and not self.silent:
             flags = stream_codec.ACK | stream_codec.FIN
-            self._send(flow, flags, own_sequence + 1, sequence, b"answer")
+            answer = b"answer"
+            # The FIN takes a position as well.
+            self._sent_bytes_by_flow[flow] = len(answer) + 1
+            self._send(flow, flags, own_sequence + 1, sequence, answer)
 
     def _send(
         self,
@@ -190,6 +212,7 @@
         self._balancers = balancers
         self._codec = stream_codec.TestCodec()
         self._next_port = 1_024
+        self._flow_count_by_port: dict[int, int] = {}
         self._inbox_by_port: dict[int, list[segment.Segment]] = {}
         self._event_by_port: dict[int, anyio.Event] = {}
 
@@ -217,24 +240,42 @@
         service_address: tuple[int, int],
         budget_s: float = 1.5,
         pause_s: float = 0.0,
+        port: int = 0,
     ) -> Outcome:
         """Send one request and wait up to ``budget_s`` for its outcome.
 
         With ``pause_s``, the request is sent as two packets with this pause
-        between them.
+        between them. With ``port``, the flow uses that port, which may have
+        been in use before, and is closed by both ends.
         """
-        self._next_port += 1
-        port = self._next_port
-        self._inbox_by_port[port] = []
-        self._event_by_port[port] = anyio.Event()
+        closes_flow = bool(port)
+        port = self._begin_flow(port)
         started_s = anyio.current_time()
         kind = "silence"
         source = (segment.ipv4_to_int(self.process.host), port)
         with anyio.move_on_after(budget_s):
-            kind = await self._run_request(source, service_address, pause_s)
+            kind = await self._run_request(
+                source, service_address, pause_s, closes_flow
+            )
         del self._inbox_by_port[port]
         return Outcome(kind, anyio.current_time() - started_s)
 
+    def _begin_flow(self, port: int) -> int:
+        """Return the port of a new flow: the given or, for 0, the next one."""
+        if not port:
+            self._next_port += 1
+            port = self._next_port
+        self._flow_count_by_port[port] = (
+            self._flow_count_by_port.get(port, 0) + 1
+        )
+        self._inbox_by_port[port] = []
+        self._event_by_port[port] = anyio.Event()
+        return port
+
+    def _initial_sequence(self, port: int) -> int:
+        """Return the initial sequence number of a port's latest flow."""
+        return (self._flow_count_by_port.get(port, 1) - 1) * SEQUENCE_STEP
+
     async def _open(self, source, service_address) -> segment.Segment | None:
         """Send openings; return the first answer, or ``None`` without one."""
         started_s = anyio.current_time()
@@ -248,7 +289,9 @@
                 return packet
         return None
 
-    async def _run_request(self, source, service_address, pause_s) -> str:
+    async def _run_request(
+        self, source, service_address, pause_s, closes_flow
+    ) -> str:
         packet = await self._open(source, service_address)
         if packet is None:
             return "silence"
@@ -270,8 +313,15 @@
             packet = await self.wait_for_packet(
                 source[1], until_s, answers_only=True
             )
-            if packet is not None:
-                return "reset" if packet.rst else "answered"
+            if packet is None:
+                continue
+            if packet.rst:
+                return "reset"
+            if closes_flow:
+                flags = stream_codec.ACK | stream_codec.FIN
+                end = packet.sequence + packet.data_bytes + 1
+                self.send(source, service_address, flags, 1, end)
+            return "answered"
 
     async def wait_for_packet(
         self, port: int, until_s: float, answers_only: bool = False
@@ -288,13 +338,13 @@
         return None
 
     async def open_kept_flow(
-        self, service_address: tuple[int, int]
+        self, service_address: tuple[int, int], port: int = 0
     ) -> "KeptFlow | None":
-        """Open a flow for several requests; ``None`` if none is accepted."""
-        self._next_port += 1
-        port = self._next_port
-        self._inbox_by_port[port] = []
-        self._event_by_port[port] = anyio.Event()
+        """Open a flow for several requests; ``None`` if none is accepted.
+
+        ``port`` is as in ``request``.
+        """
+        port = self._begin_flow(port)
         source = (segment.ipv4_to_int(self.process.host), port)
         answer = await self._open(source, service_address)
         if answer is None or answer.rst:
@@ -306,7 +356,11 @@
     def send(
         self, source, service_address, flags, sequence, acknowledged, data=b""
     ) -> None:
-        """Send one packet through the balancer that the fabric chooses."""
+        """Send one packet through the balancer that the fabric chooses.
+
+        ``sequence`` counts from the flow's initial sequence number.
+        """
+        sequence += self._initial_sequence(source[1])
         raw = stream_codec.encode(
             source,
             service_address,
