Keep an endpoint that registered again, whichever way the view learned it

Cause: a removal that is deferred after an outage was cancelled only by a change that names the endpoint, not by a peer's view that holds it. It then removed the live endpoint, and a relay passed that on at an unchanged revision. Change: a deferred removal remembers the revision of the registration that lapsed and removes nothing newer. An endpoint that lapses again is removed. Ruled out: clearing the deferred removals when a peer's view is installed: the peer may have deferred them as well, and the entries would stay for ever.

--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -18,6 +18,17 @@
 _log = logs.get("view")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LapsedRegistration:
+    """A registration that has lapsed, with the time of its removal.
+
+    ``revision`` is the store revision of the lapsed registration.
+    """
+
+    removal_s: float
+    revision: int
+
+
 @kernel_module.service(
     "view", roles=("stream_balancer", "stream_agent"), needs=("metrics",)
 )
@@ -35,7 +46,7 @@
         self.last_use_s = float("-inf")
         self._metrics = kernel.get("metrics")
         self._view_changed = anyio.Event()
-        self._removal_s_by_id: dict[str, float] = {}
+        self._lapsed_by_id: dict[str, _LapsedRegistration] = {}
         self._no_removal_until_s = float("-inf")
         self._listing_incomplete_until_s = float("-inf")
         self._old_versions: list[tuple[float, view_module.Configuration]] = []
@@ -73,13 +84,13 @@
             removed_ids -= {endpoint.id for endpoint in changes.endpoints}
         for endpoint in changes.endpoints:
             old = endpoint_by_id.get(endpoint.id)
-            self._removal_s_by_id.pop(endpoint.id, None)
+            self._lapsed_by_id.pop(endpoint.id, None)
             if old is None or old.revision < endpoint.revision:
                 endpoint_by_id[endpoint.id] = endpoint
                 self._log_endpoint(endpoint, old)
         for id_ in removed_ids & endpoint_by_id.keys():
             if now_s < self._no_removal_until_s:
-                self._removal_s_by_id.setdefault(id_, self._no_removal_until_s)
+                self._record_lapsed(endpoint_by_id[id_])
                 continue
             removed_endpoint = endpoint_by_id.pop(id_)
             _log.info(
@@ -116,6 +127,13 @@
         self._install(peer_view)
         return True
 
+    def _record_lapsed(self, endpoint: view_module.Endpoint) -> None:
+        lapsed = self._lapsed_by_id.get(endpoint.id)
+        if lapsed is None or lapsed.revision < endpoint.revision:
+            self._lapsed_by_id[endpoint.id] = _LapsedRegistration(
+                self._no_removal_until_s, endpoint.revision
+            )
+
     def _newer_configuration(
         self, changes: view_module.Changes
     ) -> view_module.Configuration:
@@ -214,18 +232,20 @@
     def remove_lapsed(self) -> None:
         """Remove lapsed endpoints that did not register again in time."""
         now_s = anyio.current_time()
-        lapsed_ids = [
+        due_ids = [
             id_
-            for id_, removal_s in self._removal_s_by_id.items()
-            if removal_s <= now_s
+            for id_, lapsed in self._lapsed_by_id.items()
+            if lapsed.removal_s <= now_s
         ]
-        if not lapsed_ids:
-            return
         endpoint_by_id = dict(self.view.endpoint_by_id)
-        for id_ in lapsed_ids:
-            del self._removal_s_by_id[id_]
-            if endpoint_by_id.pop(id_, None) is not None:
+        for id_ in due_ids:
+            lapsed = self._lapsed_by_id.pop(id_)
+            endpoint = endpoint_by_id.get(id_)
+            # It may have registered again, by a change or a peer's view.
+            if endpoint is not None and endpoint.revision <= lapsed.revision:
+                del endpoint_by_id[id_]
                 _log.info("endpoint did not register again", endpoint=id_)
-        self._install(
-            dataclasses.replace(self.view, endpoint_by_id=endpoint_by_id)
-        )
+        if len(endpoint_by_id) < len(self.view.endpoint_by_id):
+            self._install(
+                dataclasses.replace(self.view, endpoint_by_id=endpoint_by_id)
+            )
--- a/tests/cover/test_stream_view.py
+++ b/tests/cover/test_stream_view.py
@@ -143,19 +143,44 @@
 
         self.assertEqual(remaining_ids, run_with_manager(scenario))
 
-    def test_an_endpoint_that_is_listed_again_stays(self):
+    @parameterized.parameterized.expand(
+        [
+            ("by a change stays", False, False, {"e"}),
+            ("in the view of a peer stays", True, False, {"e"}),
+            ("and lapses again ends", False, True, set()),
+            ("at a peer and lapses again ends", True, True, set()),
+        ]
+    )
+    def test_an_endpoint_that_registers_again(
+        self, _, from_peer, lapses_again, remaining_ids
+    ):
         """Guards against a delayed removal despite a new registration."""
 
         async def scenario(manager):
-            manager.apply(changes(2, endpoints=(endpoint("e", 2),)))
+            configuration = one_route_configuration(1)
+            again = endpoint("e", 4)
+            manager.apply(
+                changes(
+                    2,
+                    configuration=configuration,
+                    endpoints=(endpoint("e", 2),),
+                )
+            )
             manager.delay_removals()
             manager.apply(changes(3, removed_ids=("e",)))
-            manager.apply(changes(4, endpoints=(endpoint("e", 4),)))
+            if from_peer:
+                manager.install_if_newer(
+                    view.View(4, configuration, {"e": again}, frozenset())
+                )
+            else:
+                manager.apply(changes(4, endpoints=(again,)))
+            if lapses_again:
+                manager.apply(changes(5, removed_ids=("e",)))
             await anyio.sleep(5.0)
             manager.remove_lapsed()
             return set(manager.view.endpoint_by_id)
 
-        self.assertEqual({"e"}, run_with_manager(scenario))
+        self.assertEqual(remaining_ids, run_with_manager(scenario))
 
     def test_a_listing_replaces_all_earlier_entries(self):
         """Guards against entries that stay after a loss of store history.
