Leave out a service that cannot be decoded, not its configuration

Cause: the services of a configuration were decoded together, so one of them that cannot be decoded kept the whole version out, routes included. Change: services are converted one by one, as routes are. Ruled out: a default for limits that cannot be decoded: a shorter idle time-out than the callers know would break open flows. Measured: the test of a configuration with an odd service fails without the change (no configuration); 49 tests of the adapter and the layers pass.

--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -70,7 +70,7 @@
 class _Configuration(msgspec.Struct, frozen=True):
     version: int
     routes: list[msgspec.Raw]
-    services: list[_Service]
+    services: list[msgspec.Raw]
     limits: _Limits = _Limits()
 
 
@@ -126,23 +126,28 @@
     )
 
 
+def _decode_service(value: msgspec.Raw) -> view.Service:
+    service = msgspec.json.decode(value, type=_Service)
+    return view.Service(
+        service.name,
+        service.cold_per_s,
+        service.cold_start_s,
+        service.max_conns,
+    )
+
+
 def _decode_configuration(item: Item) -> view.Configuration:
     decoded = msgspec.json.decode(_decode_value(item), type=_Configuration)
     routes = guard.convert_each(
         decoded.routes, _decode_route, _log, "skipped a route"
     )
+    services = guard.convert_each(
+        decoded.services, _decode_service, _log, "skipped a service"
+    )
     return view.Configuration(
         version=decoded.version,
         route_by_address={(route.host, route.port): route for route in routes},
-        service_by_name={
-            service.name: view.Service(
-                service.name,
-                service.cold_per_s,
-                service.cold_start_s,
-                service.max_conns,
-            )
-            for service in decoded.services
-        },
+        service_by_name={service.name: service for service in services},
         idle_s=decoded.limits.idle_timeout_ms / 1000,
     )
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -194,8 +194,10 @@
         self.assertEqual(["good"], [e.id for e in decoded.endpoints])
         self.assertEqual(("bad",), decoded.removed_ids)
 
-    def test_a_route_that_cannot_be_decoded_keeps_no_other_out(self):
-        """Guards against one odd route that holds a configuration back."""
+    def test_a_route_or_service_that_cannot_be_decoded_keeps_no_other_out(
+        self,
+    ):
+        """Guards against one odd value that holds a configuration back."""
         route = {"name": "r", "hostname": "198.18.0.1", "service": "desk"}
         configuration = {
             "version": 3,
@@ -204,11 +206,12 @@
                 {**route, "prefix": "/443/"},
                 {**route, "prefix": "/444/", "priority": []},
             ],
-            "services": [{"name": "desk"}],
+            "services": [{"name": "odd", "cold_per_s": []}, {"name": "desk"}],
         }
         decoded = decoding.decode(
             [item("op/config", configuration)], 9, 0.0, False
         )
+        self.assertEqual(["desk"], list(decoded.configuration.service_by_name))
         self.assertEqual(3, decoded.configuration.version)
         self.assertEqual(
             [443],
