Write foreign entries and use ports again in the soak

Ruled out: comparing acknowledgements at the soak's endpoint, which would hide packets that reach the wrong one.

--- a/tests/failures/test_store_entries.py
+++ b/tests/failures/test_store_entries.py
@@ -4,7 +4,6 @@
 """
 
 import base64
-import json
 import unittest
 
 import anyio
@@ -14,50 +13,7 @@
 from tests.failures import test_kept_flows
 from tests.failures import test_relay
 from tests.failures import test_stream_flows
-
-ENTRY = {
-    "service": "desk",
-    "address": "10.0.2.1:8165",
-    "zone": "a",
-    "version": "1",
-    "slots": 3,
-    "state": "resting",
-    "cold_remaining_ms": 0,
-    "born": 1,
-}
-
-
-def entry(**fields) -> bytes:
-    """Return an entry whose state no daemon knows, with other fields."""
-    return json.dumps({**ENTRY, **fields}).encode()
-
-
-def with_number(field: str, number: str) -> bytes:
-    """Return an entry with a number that Python cannot write as JSON."""
-    return entry(**{field: "NUMBER"}).replace(
-        b'"NUMBER"', number.encode("ascii")
-    )
-
-
-NESTED = b"[" * 2_000 + b"]" * 2_000
-# The entries of the record of issue 26, and others that may stop a decoder,
-# an encoder or a task.
-ENTRIES = (
-    ("is nested deeply", entry(version="X").replace(b'"X"', NESTED)),
-    ("is nothing but nested", NESTED),
-    ("has a number out of range", with_number("cold_remaining_ms", "1e999")),
-    ("has a long integer", with_number("born", "1" + "0" * 5_000)),
-    ("has a long integer for slots", with_number("slots", "1" + "0" * 4_000)),
-    ("has a negative cold time", entry(cold_remaining_ms=-1e300)),
-    ("has an IPv6 address", entry(address="::1:8169", state="ready")),
-    ("has a port that is a word", entry(address="10.128.0.28:http")),
-    ("has a port out of range", entry(address="10.128.0.29:80800")),
-    ("has a long service", entry(service="s" * 70_000, state="ready")),
-    ("has a long failure domain", entry(zone="z" * 70_000, state="ready")),
-    ("has names that fill a frame", entry(service="s" * 3_900, state="ready")),
-    ("is not UTF-8", b'{"service":"\xff"}'),
-    ("is empty", b""),
-)
+from tests import store_entries
 
 
 def decoder(id_: str, value: bytes):
@@ -85,7 +41,7 @@
 
 
 class ForeignEntriesTest(unittest.TestCase):
-    @parameterized.parameterized.expand(ENTRIES)
+    @parameterized.parameterized.expand(store_entries.ENTRIES)
     def test_a_change_is_in_force_everywhere_though_an_entry(self, _, value):
         """Guards against one entry that keeps all daemons from any change.
 
@@ -105,7 +61,7 @@
         versions = test_stream_flows.run_scenario(scenario)
         self.assertEqual([5] * 9, versions)
 
-    @parameterized.parameterized.expand(ENTRIES)
+    @parameterized.parameterized.expand(store_entries.ENTRIES)
     def test_a_daemon_gets_the_view_of_its_peers_though_an_entry(
         self, _, value
     ):
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -12,6 +12,7 @@
 from tests.soak import ends
 from tests.soak import machines
 from tests.soak import store as store_module
+from tests import store_entries
 
 DOMAINS = ("a", "b", "c")
 BALANCERS = 3
@@ -74,6 +75,8 @@
     def __init__(self, folder: pathlib.Path, net: str, seed: int):
         self.rng = random.Random(seed)
         self.faults = schedule(self.rng)
+        # Random numbers of their own keep the schedules of earlier seeds.
+        self._foreign_rng = random.Random(seed)
         self.store = store_module.Store()
         self.executions: list[ends.Execution] = []
         self.violations: list[str] = []
@@ -107,7 +110,10 @@
                     )
                 )
         self.caller = ends.Caller(
-            f"{net}.90", machines.INGRESS_PORT, self.in_rotation, self.rng
+            f"{net}.90",
+            machines.INGRESS_PORT,
+            self.in_rotation,
+            random.Random(seed),
         )
 
     def in_rotation(self) -> list[str]:
@@ -201,6 +207,7 @@
         started_s = anyio.current_time()
         async with anyio.create_task_group() as load:
             load.start_soon(self._make_planned_changes)
+            load.start_soon(self._write_foreign_entries)
             async with anyio.create_task_group() as injections:
                 injections.start_soon(self._generate_load, load, started_s)
                 for fault in self.faults:
@@ -234,6 +241,18 @@
         self.store.delete("op/evacuate/c")
         self.acknowledged_s_by_change["back"] = anyio.current_time()
 
+    async def _write_foreign_entries(self) -> None:
+        """Write entries as another writer among those of the endpoints."""
+        end_s = anyio.current_time() + FAULT_PERIOD_S + RECOVERY_PERIOD_S
+        while anyio.current_time() < end_s:
+            await anyio.sleep(self._foreign_rng.uniform(0.2, 1.5))
+            key = f"servers/foreign-{self._foreign_rng.randrange(4)}"
+            _, value = self._foreign_rng.choice(store_entries.ENTRIES)
+            if self._foreign_rng.random() < 0.3:
+                self.store.delete(key)
+            else:
+                self.store.put_bytes(key, value)
+
     async def _inject(self, fault: Fault, started_s: float) -> None:
         delay_s = started_s + fault.at_s - anyio.current_time()
         await anyio.sleep(max(0.0, delay_s))
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -1,5 +1,6 @@
 """Simulated callers and endpoints that use the platform's packets."""
 
+import collections
 import dataclasses
 import random
 import struct
@@ -18,6 +19,10 @@
 # the start of the request.
 OPENING_SEND_TIMES_S = (0.0, 0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
+# Share of the flows that use the port of a flow that has ended before.
+REUSED_PORTS_FRACTION = 0.3
+# Time that a port stays unused after its flow.
+REUSE_DELAY_S = 3.0
 RETRANSMIT_INTERVAL_S = 0.2
 # A caller ignores a reset by the load balancer if its flow is open and the
 # sequence number is further than this from its own last acknowledgement.
@@ -97,6 +102,8 @@
         self.openings: list[tuple[float, tuple[int, int]]] = []
         self.alive = True
         self.flows: dict[segment.Flow, list] = {}
+        self._opening_sequence_by_flow: dict[segment.Flow, int] = {}
+        self._ended_flows: set[segment.Flow] = set()
 
     async def serve(self) -> None:
         """Serve until cancelled."""
@@ -114,6 +121,11 @@
         flow = packet.flow_from_caller()
         state = self.flows.get(flow)
         if packet.opening:
+            if self._opening_sequence_by_flow.get(flow) != packet.sequence:
+                # The addresses and ports of an earlier flow are in use again.
+                self._opening_sequence_by_flow[flow] = packet.sequence
+                self._ended_flows.discard(flow)
+                state = None
             if state is None:
                 # State of the flow: the endpoint's initial sequence number,
                 # the sequence number after the last request, and, once that
@@ -134,10 +146,17 @@
         if packet.fin or packet.rst:
             if packet.fin:
                 flags = packet_module.ACK
-                self._send(flow, flags, state[0], packet.sequence + 1)
+                if flow not in self._ended_flows:
+                    flags |= packet_module.FIN
+                self._ended_flows.add(flow)
+                sequence = packet.acknowledged
+                self._send(flow, flags, sequence, packet.sequence + 1)
             return
         if not packet.data_bytes:
             return
+        if flow in self._ended_flows:
+            self._send(flow, packet_module.RST, packet.acknowledged)
+            return
         end = (packet.sequence + packet.data_bytes) & SEQUENCE_MASK
         # A daemon that was paused may deliver a copy of an old request much
         # later. Like a real endpoint, this one runs each request only once.
@@ -146,20 +165,19 @@
             or 0 < (end - state[1]) & SEQUENCE_MASK <= SEQUENCE_MASK // 2
         ):
             state[1] = end
-            tasks.start_soon(self._execute, flow, packet)
+            tasks.start_soon(self._execute, flow, packet, state)
         elif len(state) > 2 and state[2][0] == packet.sequence:
             # The caller resent the request: its answer was lost or late.
             self._send(flow, *state[2][1:])
 
-    async def _execute(self, flow, packet: segment.Segment) -> None:
+    async def _execute(self, flow, packet: segment.Segment, state) -> None:
         request = packet.raw[packet_module.HEADER_BYTES :].decode()
         now_s = anyio.current_time()
         self.executions.append(
             Execution(request, self.name, self.service, now_s)
         )
         await anyio.sleep(self.work_s)
-        state = self.flows.get(flow)
-        if state is None:
+        if self.flows.get(flow) is not state:
             return
         body = f"{request} by {self.service}".encode()
         answer_sequence = packet.acknowledged
@@ -172,7 +190,7 @@
         state[2:] = [(packet.sequence, *answer)]
         self._send(flow, *answer)
 
-    def _send(self, flow, flags, sequence, acknowledged, data=b""):
+    def _send(self, flow, flags, sequence, acknowledged=0, data=b""):
         raw = encode(
             (flow.service_host, flow.service_port),
             (flow.caller_host, flow.caller_port),
@@ -211,6 +229,11 @@
         self._balancers = balancers
         self._rng = rng
         self._next_port = 1_024
+        # Ports whose flows have ended, with the time of the end.
+        self._used_ports: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._opening_sequence_by_port: dict[int, int] = {}
         self._number = 0
         self._streams: dict[int, object] = {}
         self.outcomes: list[Outcome] = []
@@ -230,8 +253,7 @@
         self, address: tuple[int, int], requests: int, pause_s: float
     ) -> None:
         """Open a flow and send ``requests`` requests, ``pause_s`` apart."""
-        self._next_port += 1
-        port = self._next_port
+        port = self._choose_port()
         sender, receiver = anyio.create_memory_object_stream(1_000)
         self._streams[port] = sender
         source = (segment.ipv4_to_int(self._host), port)
@@ -239,14 +261,32 @@
             await self._run_flow(source, address, requests, pause_s, receiver)
         finally:
             del self._streams[port]
+            self._used_ports.append((anyio.current_time(), port))
+
+    def _choose_port(self) -> int:
+        """Return a new port, or one that has been unused for some time."""
+        oldest_s = anyio.current_time() - REUSE_DELAY_S
+        reuses_port = self._rng.random() < REUSED_PORTS_FRACTION
+        if reuses_port and self._used_ports:
+            ended_s, port = self._used_ports[0]
+            if ended_s < oldest_s:
+                self._used_ports.popleft()
+                self._opening_sequence_by_port[port] = self._rng.getrandbits(
+                    32
+                )
+                return port
+        self._next_port += 1
+        return self._next_port
 
     async def _run_flow(
         self, source, address, requests, pause_s, inbox
     ) -> None:
         outcome = self._start_request(address)
+        opening_sequence = self._opening_sequence_by_port.get(source[1], 0)
         packet = None
         for count, at_s in enumerate(OPENING_SEND_TIMES_S):
-            self._send(source, address, packet_module.SYN, 0, count)
+            flags = packet_module.SYN
+            self._send(source, address, flags, opening_sequence, count)
             wait_s = (*OPENING_SEND_TIMES_S[1:], OPENING_TIMEOUT_S)[
                 count
             ] - at_s
@@ -259,7 +299,7 @@
             )
             return
         outcome.opened = True
-        sequence, acknowledged = 1, packet.sequence + 1
+        sequence, acknowledged = opening_sequence + 1, packet.sequence + 1
         for number in range(requests):
             if number:
                 await anyio.sleep(pause_s)
@@ -296,7 +336,8 @@
                     break
                 if packet.rst and _is_out_of_window(packet, acknowledged):
                     continue
-                if packet.rst or packet.acknowledged == sequence + len(data):
+                end = (sequence + len(data)) & SEQUENCE_MASK
+                if packet.rst or packet.acknowledged == end:
                     return packet
             wait_s = min(1.6, 2 * wait_s)
         return None
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -28,9 +28,12 @@
 
     def put(self, key: str, value: object) -> None:
         """Write an item; the write is acknowledged at once."""
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, data: bytes) -> None:
+        """Write an item with any value."""
         self.revision += 1
         previous_item = self._item_by_key.get(key)
-        data = json.dumps(value).encode()
         item = {
             "key": key,
             "value": base64.b64encode(data).decode(),
@@ -44,9 +47,10 @@
         self._publish(item)
 
     def delete(self, key: str) -> None:
-        """Remove an item and publish a tombstone for it."""
+        """Remove an item, if it exists, and publish a tombstone for it."""
+        if self._item_by_key.pop(key, None) is None:
+            return
         self.revision += 1
-        del self._item_by_key[key]
         event = {"key": key, "revision": self.revision, "tombstone": True}
         self._publish(event)
 
