Leave an invalid VM out of the VM list, not the whole list

Cause: vms.decode() refused the whole list for one VM with an odd address or field. Daemons went on with the last list they had, for as long as the entry was there. Change: VMs are converted one by one, like the entries of the metadata store; convert_each moves to a module that both paths use. Updates from peers stay strict, since peers send what they have decoded. Ruled out: the other decoders of that path (manifest, shards, control messages, frames, health reports): each has one author and refuses one message with any error that it raises.

--- a/src/bramleypin/internal/model/vms.py
+++ b/src/bramleypin/internal/model/vms.py
@@ -10,11 +10,15 @@
 
 from bramleypin import errors
 from bramleypin.internal import address
+from bramleypin.internal import conversion
 from bramleypin.internal.model import configuration
+from bramleypin.internal.observe import logs
 from bramleypin import settings as settings_module
 
 FORMAT = 1
 
+_log = logs.get("vms")
+
 
 class Vm(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """A VM that runs a daemon, and the addresses of that daemon."""
@@ -43,6 +47,17 @@
     )
 
 
+class _UncheckedVmList(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """A VM list whose VMs are not converted yet."""
+
+    format: int
+    version: int
+    vms: tuple[typing.Any, ...] = ()
+    version_by_part: dict[str, int] = {}
+
+
 class VmList(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The VM list; ``version`` increases with every change.
 
@@ -63,14 +78,27 @@
 
 
 def decode(data: bytes) -> VmList:
-    """Decode and validate a VM list.
+    """Decode and validate a VM list; an invalid VM is left out.
 
-    :raises errors.InvalidConfiguration: with the path of the invalid value.
+    :raises errors.InvalidConfiguration: with the path of the invalid value,
+        if the list itself is invalid.
     """
-    document = configuration.decode(data, VmList, "vms")
-    for vm in document.vms:
-        check(vm)
-    return document
+    document = configuration.decode(data, _UncheckedVmList, "vms")
+    members = conversion.convert_each(
+        document.vms, _convert, _log, "skipped a VM of the list"
+    )
+    return VmList(
+        document.format,
+        document.version,
+        tuple(members),
+        document.version_by_part,
+    )
+
+
+def _convert(value: typing.Any) -> Vm:
+    vm = msgspec.convert(value, Vm)
+    check(vm)
+    return vm
 
 
 def check(vm: Vm) -> None:
@@ -93,9 +121,7 @@
     :raises errors.InvalidFrame: when one of them is malformed.
     """
     try:
-        result = [msgspec.convert(item, Vm) for item in values]
-        for vm in result:
-            check(vm)
+        result = [_convert(item) for item in values]
     except (msgspec.ValidationError, errors.InvalidConfiguration) as error:
         raise errors.InvalidFrame("control_malformed", str(error)) from error
     return result
--- a/src/bramleypin/internal/stream/guard.py
+++ b/src/bramleypin/internal/stream/guard.py
@@ -21,9 +21,6 @@
     "Messages, timers and loops that failed with an unexpected error.",
 )
 
-T = typing.TypeVar("T")
-Converted = typing.TypeVar("Converted")
-
 _log = logs.get("guard")
 
 
@@ -70,24 +67,3 @@
         handler=name,
         error=f"{type(error).__name__}: {error}"[:200],
     )
-
-
-def convert_each(
-    values: typing.Iterable[T],
-    convert: typing.Callable[[T], Converted],
-    log: logs.PartLog,
-    event: str,
-) -> list[Converted]:
-    """Return the results of converting values that others have written.
-
-    A value whose conversion fails is logged as ``event`` and left out. Which
-    error it raises depends on the value, so that no list of them is complete.
-    """
-    results = []
-    for value in values:
-        try:
-            results.append(convert(value))
-        except Exception as error:
-            text = f"{type(error).__name__}: {error}"[:200]
-            log.warn_throttled(event, event, error=text)
-    return results
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from bramleypin.internal import address
+from bramleypin.internal import conversion
 from bramleypin.internal.observe import logs
-from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import view
 
@@ -138,10 +138,10 @@
 
 def _decode_configuration(item: Item) -> view.Configuration:
     decoded = msgspec.json.decode(_decode_value(item), type=_Configuration)
-    routes = guard.convert_each(
+    routes = conversion.convert_each(
         decoded.routes, _decode_route, _log, "skipped a route"
     )
-    services = guard.convert_each(
+    services = conversion.convert_each(
         decoded.services, _decode_service, _log, "skipped a service"
     )
     return view.Configuration(
@@ -154,7 +154,7 @@
 
 def decode_items(values: list[msgspec.Raw]) -> list[Item]:
     """Return the items of a page that can be decoded."""
-    return guard.convert_each(
+    return conversion.convert_each(
         values,
         lambda value: msgspec.json.decode(value, type=Item),
         _log,
--- a/tests/cover/test_members.py
+++ b/tests/cover/test_members.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import cbor2
 import parameterized
 
 from bramleypin.internal import kernel as kernel_module
@@ -36,6 +37,23 @@
     return versions
 
 
+class TestVmList(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("nested", [[]] * 50),
+            ("port", ["x", "agent", "a", "10.0.0.1:70000", "10.0.0.1:1"]),
+            ("number", ["x", "agent", "a", 1 << 80, "10.0.0.1:1"]),
+            ("text", "x"),
+        ]
+    )
+    def test_an_invalid_vm_keeps_no_other_out_of_the_list(self, _, vm):
+        """Guards against one odd entry that stops all from following it."""
+        document = vms.VmList(vms.FORMAT, 3, tuple(VMS[:2]))
+        fields = cbor2.loads(vms.encode(document))
+        fields["vms"] = [fields["vms"][0], vm, fields["vms"][1]]
+        self.assertEqual(document, vms.decode(cbor2.dumps(fields)))
+
+
 class TestMembers(unittest.TestCase):
     @parameterized.parameterized.expand(
         [(f"{a}_to_{b}", a, b) for a in range(5) for b in range(a + 1, 6)]
