Show in the tool when configurations were in force and what stopped readers

Change: `bramleypin logs views` lists each configuration with the process that had it last, the periods in which processes could not follow the store with their first error, and the data of other writers that were left out. A log line that no JSON decoder takes is passed over, whatever it raises. Ruled out: plots, as the table answers the question. Its test fails without the command.

--- a/src/bramleypin/internal/tool/log_commands.py
+++ b/src/bramleypin/internal/tool/log_commands.py
@@ -1,6 +1,7 @@
 """Commands of ``bramleypin logs``."""
 
 import html as html_module
+import math
 import pathlib
 import typing
 
@@ -9,6 +10,7 @@
 from bramleypin import errors
 from bramleypin.internal.tool import fleet_options
 from bramleypin.internal.tool import log_lines
+from bramleypin.internal.tool import log_views
 from bramleypin.internal.tool import output
 from bramleypin.internal.tool import svg
 
@@ -152,6 +154,72 @@
     )
 
 
+@application.command()
+def views(files: Files, json: fleet_options.Json = False) -> None:
+    """Show how fast configurations were in force, and what stopped readers.
+
+    Lists each version with the process that had it last, the periods in which
+    a process could not follow the store, and the data that were left out.
+
+    Example: bramleypin logs views front-*.log side-*.log
+    """
+    lines = log_lines.read(files)
+    first_s = lines[0].time_s
+    version_rows = []
+    for adoption in log_views.adoptions(lines):
+        process, lag_s = adoption.slowest()
+        version_rows.append(
+            {
+                "version": adoption.version,
+                "after_s": round(adoption.first_s - first_s, 3),
+                "processes": len(adoption.lag_s_by_process),
+                "slowest": process,
+                "lag_s": round(lag_s, 3) if math.isfinite(lag_s) else None,
+            }
+        )
+    outage_rows = [
+        {
+            "process": outage.process,
+            "after_s": round(outage.first_s - first_s, 3),
+            "for_s": round(outage.last_s - outage.first_s, 3),
+            "event": outage.event,
+            "error": outage.error,
+        }
+        for outage in log_views.outages(lines)
+    ]
+    skipped_rows = [
+        {"lines": count, "event": event, "item": item, "error": error}
+        for (event, item, error), count in log_views.skipped(
+            lines
+        ).most_common()
+    ]
+    if json:
+        output.as_json(
+            {
+                "versions": version_rows,
+                "outages": outage_rows,
+                "skipped": skipped_rows,
+            }
+        )
+        return
+    for title, rows in (
+        ("configurations", version_rows),
+        ("calls to the store that failed", outage_rows),
+        ("data left out", skipped_rows),
+    ):
+        if not rows:
+            output.line(f"{title}: none")
+            continue
+        output.line(f"{title}:")
+        output.table(
+            tuple(rows[0]),
+            [
+                ["never" if value is None else str(value) for value in values]
+                for values in (row.values() for row in rows)
+            ],
+        )
+
+
 @application.command()
 def summary(
     files: Files,
--- a/src/bramleypin/internal/tool/log_lines.py
+++ b/src/bramleypin/internal/tool/log_lines.py
@@ -89,7 +89,7 @@
         return None
     try:
         record = json.loads(raw_line[json_start:])
-    except json.JSONDecodeError:
+    except (ValueError, RecursionError):
         # Daemons truncate lines that a pipe does not accept in one write.
         return None
     prefix_words = raw_line[:json_start].split()
--- a/tests/cover/test_tool_logs.py
+++ b/tests/cover/test_tool_logs.py
@@ -9,10 +9,13 @@
 import typer.testing
 
 from bramleypin import cli
+from bramleypin.internal.tool import log_views
 from bramleypin.platform import check
 
 FLOW = "100.64.0.7:40001>198.18.0.1:443"
 OTHER_FLOW = "100.64.0.8:40002>198.18.0.1:443"
+V8 = {"version": 8, "revision": 5}
+V9 = {"version": 9, "revision": 6}
 # Lines of a balancer and an agent, sorted by time.
 RECORDS = (
     ("front-1", 0.0, "kernel", "starting", {"role": "stream_balancer"}),
@@ -105,6 +108,41 @@
         self.assertEqual(1, code)
         self.assertIn(FLOW, text)
 
+    def test_views_name_the_slowest_process_and_what_stopped_it(self):
+        """Guards against a configuration whose delay no report shows."""
+        failure = {"error": "RecursionError", "revision": 6}
+        self.file.write_text(
+            text_of(
+                (
+                    ("a", 0.0, "kernel", "starting", {}),
+                    ("b", 0.0, "kernel", "starting", {}),
+                    ("b", 0.5, "view", log_views.FAILURE_EVENTS[1], failure),
+                    ("a", 1.0, "view", "configuration in force", V8),
+                    ("b", 9.0, "view", log_views.FAILURE_EVENTS[1], failure),
+                    ("b", 9.5, "view", "the store answers again", {}),
+                    ("b", 9.5, "view", "configuration in force", V8),
+                    ("a", 9.6, "store", "skipped an item", {"item": "x"}),
+                    ("a", 9.7, "view", "configuration in force", V9),
+                    ("b", 9.8, "kernel", "stopped", {}),
+                )
+            )
+        )
+        code, text = self.run_tool("logs", "views", self.file, "--json")
+        self.assertEqual(0, code)
+        report = json.loads(text)
+        self.assertEqual(
+            [(8, "b", 8.5), (9, "b", None)],
+            [
+                (row["version"], row["slowest"], row["lag_s"])
+                for row in report["versions"]
+            ],
+        )
+        (outage,) = report["outages"]
+        self.assertEqual(("b", 9.0), (outage["process"], outage["for_s"]))
+        (skipped,) = report["skipped"]
+        self.assertEqual((1, "x"), (skipped["lines"], skipped["item"]))
+        self.assertIn("never", self.run_tool("logs", "views", self.file)[1])
+
     def test_the_longest_waits_come_first(self):
         """Guards against a list without the openings that waited longest."""
         code, text = self.run_tool("logs", "waits", self.file, "--json")
