Keep the daemons' logs of a soak run that fails

Change: a run with violations copies its logs to a new folder and names it, in the command and in the test's failure.

--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -1,7 +1,5 @@
 """The soak test with fixed seeds; ``make soak`` runs more seeds."""
 
-import pathlib
-import tempfile
 import unittest
 
 import parameterized
@@ -32,7 +30,6 @@
 
         Such failures need real signals, sockets and process scheduling.
         """
-        with tempfile.TemporaryDirectory() as folder:
-            violations, summary = soak.run(seed, pathlib.Path(folder))
+        violations, summary = soak.run(seed)
         self.assertEqual([], violations, summary)
         self.assertIn("answered", summary)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import shutil
 import sys
 import tempfile
 import time
@@ -18,8 +19,23 @@
 OCTET_VALUES = 200
 
 
-def run(seed: int, folder: pathlib.Path) -> tuple[list[str], str]:
-    """Run one seed; return the violations and a summary of outcomes."""
+def run(seed: int, logs: pathlib.Path | None = None) -> tuple[list[str], str]:
+    """Run one seed; return the violations and a summary of outcomes.
+
+    The daemons' logs are kept in ``logs`` or, if that is not given and there
+    are violations, in a new folder that the last violation names.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = logs or pathlib.Path(temporary)
+        violations, summary = _run_in(seed, folder)
+        if violations and logs is None:
+            kept = tempfile.mkdtemp(prefix=f"bramleypin-soak-{seed}-")
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
+            violations.append(f"logs are kept in {kept}")
+    return violations, summary
+
+
+def _run_in(seed: int, folder: pathlib.Path) -> tuple[list[str], str]:
     net = f"127.{20 + os.getpid() % OCTET_VALUES}.{seed % OCTET_VALUES}"
 
     async def main() -> tuple[list[str], str]:
@@ -56,19 +72,18 @@
     failed = 0
     for seed in seeds:
         started_s = time.monotonic()
-        with tempfile.TemporaryDirectory() as temporary:
-            folder = pathlib.Path(temporary)
-            if options.logs is not None:
-                folder = options.logs / str(seed)
-                folder.mkdir(parents=True, exist_ok=True)
-            violations, summary = run(seed, folder)
+        folder = None
+        if options.logs is not None:
+            folder = options.logs / str(seed)
+            folder.mkdir(parents=True, exist_ok=True)
+        violations, summary = run(seed, folder)
         duration_s = time.monotonic() - started_s
         verdict = f"{len(violations)} violations" if violations else "ok"
         print(
             f"seed {seed}: {verdict} in {duration_s:.0f} s; {summary}",
             flush=True,
         )
-        for violation in violations[:10]:
+        for violation in [*violations[:10], *violations[10:][-1:]]:
             print(f"  {violation}")
         failed += bool(violations)
     print(f"{len(seeds) - failed} passed, {failed} failed")
