Let no reset of an earlier flow's endpoint reach an open flow

Cause: an agent forgets an ended flow after 10 s. In the first minute of its process it then answers `maybe` to a search, as for any flow that it does not know. If the owner does not answer within 40 ms, which load makes likely, the balancer tries the caller's packet there, the endpoint resets data on a flow that it has ended, and the agent passed the reset on. Change: an agent that has seen a flow end answers `no` after that as well. A reset in answer to a tried packet means that the endpoint does not hold the flow, as a bounced packet does: it goes back to the balancer, not to the caller. Ruled out: a longer wait for the owner's answer, which would delay each flow whose owner has really gone; keeping ended flows longer at the agent, which a restart of the agent would undo.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -224,6 +224,7 @@
             # The endpoint may hold flows from before this process started.
             entry = self.flows.add(flow)
             entry.established = True
+            entry.tried_packet = b"" if message.confirmed else data
         elif not entry.includes(packet.acknowledged, packet.opening_sequence):
             self._return_packet(host, data)
             return
@@ -238,7 +239,7 @@
         Shortly after the start, the flow's route may have named this service
         in a version of the configuration that this process has not seen.
         """
-        if packet.opening or self.flows.has_bounced(packet.flow_from_caller()):
+        if packet.opening or self.flows.is_not_held(packet.flow_from_caller()):
             return False
         if self.flows.started_recently():
             return True
@@ -304,6 +305,10 @@
         elif entry.is_from_earlier_flow(packet):
             self._metrics.count(agent_metrics.LATE_ANSWERS_DROPPED)
             return
+        if packet.rst and entry.tried_packet:
+            self._on_tried_flow_reset(entry)
+            return
+        entry.tried_packet = b""
         entry.seen_s = anyio.current_time()
         if packet.syn:
             entry.record_endpoint_sequence(packet.sequence)
@@ -322,6 +327,16 @@
         self._metrics.count(agent_metrics.PACKETS_TO_CALLERS)
         self._peers.send_raw(data, entry.caller_address)
 
+    def _on_tried_flow_reset(self, entry: endpoint_flows.EndpointFlow) -> None:
+        """Return a packet that was tried at an endpoint and reset by it.
+
+        The endpoint has ended an earlier flow with the same addresses and
+        ports, and its reset would break the caller's open one.
+        """
+        self.flows.forget(entry)
+        self.flows.record_not_held(entry.flow)
+        self._return_packet(entry.origin_host, entry.tried_packet)
+
     def _on_endpoint_answer(self) -> None:
         self._unanswered_openings = 0
         if self._admission.endpoint_silent:
@@ -343,7 +358,7 @@
         opened_here = entry.endpoint_sequence >= 0
         age_s = anyio.current_time() - entry.created_s
         self.flows.forget(entry)
-        self.flows.record_bounced(flow)
+        self.flows.record_not_held(flow)
         _log.info(
             "the endpoint does not hold a flow",
             flow=str(flow),
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -25,7 +25,7 @@
 # an acknowledgement number, and resets may carry 0.
 MAX_OPENING_COPIES = 8
 # Maximum number of flows that the endpoint is known not to hold.
-MAX_BOUNCED_FLOWS = 20_000
+MAX_FLOWS_NOT_HELD = 20_000
 # Stream positions wrap around at 32 bits.
 SEQUENCE_MASK = 0xFFFFFFFF
 # Packets of a flow lie within this distance of the latest data, as an end has
@@ -56,6 +56,8 @@
     the caller waits for an answer. ``caller_position`` is the end of the data
     received from the caller, or -1 before the first byte;
     ``endpoint_position`` is the same for the endpoint's data.
+    ``tried_packet`` is the caller's packet that was given to the endpoint to
+    see whether it holds the flow, until it has answered.
     """
 
     flow: segment.Flow
@@ -77,6 +79,7 @@
     ended_s: float | None = None
     caller_position: int = -1
     endpoint_position: int = -1
+    tried_packet: bytes = b""
 
     def record_caller_data(self, packet: segment.Segment) -> bool:
         """Record a caller's data; return false if it is a retransmission."""
@@ -171,7 +174,7 @@
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
         self._started_s = anyio.current_time()
-        self._bounced_flows: collections.OrderedDict[segment.Flow, None] = (
+        self._flows_not_held: collections.OrderedDict[segment.Flow, None] = (
             collections.OrderedDict()
         )
 
@@ -188,21 +191,21 @@
         entry = EndpointFlow(key, address, now_s, now_s)
         self.flow_by_key[key] = entry
         self.open_flow_count += 1
-        self._bounced_flows.pop(key, None)
+        self._flows_not_held.pop(key, None)
         return entry
 
-    def record_bounced(self, key: segment.Flow) -> None:
-        """Record that the endpoint returned a packet of a flow.
+    def record_not_held(self, key: segment.Flow) -> None:
+        """Record that the endpoint returned or ended a flow.
 
         It does not hold the flow unless it accepts an opening for it later.
         """
-        self._bounced_flows[key] = None
-        if len(self._bounced_flows) > MAX_BOUNCED_FLOWS:
-            self._bounced_flows.popitem(last=False)
+        self._flows_not_held[key] = None
+        if len(self._flows_not_held) > MAX_FLOWS_NOT_HELD:
+            self._flows_not_held.popitem(last=False)
 
-    def has_bounced(self, key: segment.Flow) -> bool:
+    def is_not_held(self, key: segment.Flow) -> bool:
         """Return whether the endpoint is known not to hold a flow."""
-        return key in self._bounced_flows
+        return key in self._flows_not_held
 
     def started_recently(self) -> bool:
         """Return whether flows older than this process may still be open."""
@@ -222,7 +225,7 @@
         """
         entry = self.flow_by_key.get(key)
         if entry is None:
-            may_hold = self.started_recently() and not self.has_bounced(key)
+            may_hold = self.started_recently() and not self.is_not_held(key)
             return "maybe" if may_hold else "no"
         includes = entry.includes(acknowledged, opening_sequence)
         return "holds" if includes else "no"
@@ -271,6 +274,7 @@
         """
         now_s = anyio.current_time()
         for entry in list(self.flow_by_key.values()):
+            was_ended = entry.ended_s is not None
             if entry.ended_s is not None:
                 expired = now_s - entry.ended_s > LINGER_S
             elif not entry.established:
@@ -279,6 +283,10 @@
                 expired = now_s - entry.seen_s > idle_s
             if expired:
                 self.forget(entry)
+                is_quiet = now_s - entry.seen_s > LINGER_S / 2
+                if was_ended and is_quiet and self.started_recently():
+                    # Flows that this process does not know may be open.
+                    self.record_not_held(entry.flow)
             elif (
                 entry.request_started_s is not None
                 and now_s - entry.request_started_s > entry.budget_s
--- a/src/bramleypin/standins/stream_ends.py
+++ b/src/bramleypin/standins/stream_ends.py
@@ -35,6 +35,7 @@
 class StreamEndpoint:
     """An endpoint that answers one request per flow and closes the flow.
 
+    It resets data on a flow that the caller has closed as well.
     With ``keep_open``, it answers any number of requests on a flow and closes
     none. While ``silent`` is set, it drops all packets, like a machine that
     has lost power. ``received`` and ``bounced`` are the flows' packets, except
@@ -62,6 +63,8 @@
         self.runs: list[FlowEvent] = []
         self.openings: list[FlowEvent] = []
         self.bounced_packets = 0
+        self.resets_sent = 0
+        self._ended_flows: set[segment.Flow] = set()
         self._codec = stream_codec.TestCodec()
         self._sequence_by_flow: dict[segment.Flow, int] = {}
         self._opening_sequence_by_flow: dict[segment.Flow, int] = {}
@@ -79,6 +82,7 @@
 
     def _forget(self, flow: segment.Flow) -> None:
         """Discard an earlier flow with the same addresses and ports."""
+        self._ended_flows.discard(flow)
         self._sequence_by_flow.pop(flow, None)
         self._flows_with_request.discard(flow)
         self._request_end_by_flow.pop(flow, None)
@@ -109,6 +113,11 @@
             self._send(flow, flags, initial_sequence, packet.sequence + 1)
             return
         now_s = anyio.current_time()
+        if flow in self._ended_flows:
+            if packet.data_bytes:
+                self.resets_sent += 1
+                self._send(flow, stream_codec.RST, packet.acknowledged, 0)
+            return
         if not self._holds(flow, packet.acknowledged):
             self.bounced_packets += 1
             self.bounced.append(FlowEvent(flow, now_s))
@@ -117,6 +126,8 @@
             self._port.send(bytes(raw), self.outbound)
             return
         self.received.append(FlowEvent(flow, now_s))
+        if packet.fin:
+            self._ended_flows.add(flow)
         if not packet.raw.endswith(REQUEST_END):
             return
         if self.keep_open:
--- a/tests/failures/test_reused_ports.py
+++ b/tests/failures/test_reused_ports.py
@@ -1,10 +1,13 @@
 """Tests of callers that use the port of an earlier flow again."""
 
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
 
+from bramleypin.internal.stream import agent
+from bramleypin.internal.stream import endpoint_flows
 from bramleypin.standins import stream_fleet
 from tests.failures import test_kept_flows
 from tests.failures import test_stream_flows
@@ -115,6 +118,51 @@
             test_stream_flows.run_scenario(scenario),
         )
 
+    @parameterized.parameterized.expand(
+        [("seen its end", False, 0), ("lost its flow table", True, 1)]
+    )
+    def test_no_reset_by_an_earlier_endpoint_reaches_a_flow_if_its_agent_has(
+        self, _, agent_restarts, resets_sent
+    ):
+        """Guards against a reset by the endpoint of an earlier flow.
+
+        A balancer that has restarted gets no answer from the agent of the open
+        flow. The other agent has seen the end of the earlier flow a while ago,
+        or lost its flow table.
+        """
+        original = agent.Agent._on_lookup
+        silent_hosts = set()
+
+        def on_lookup(self, query, packet, host):
+            if self.settings.host not in silent_hosts:
+                original(self, query, packet, host)
+
+        async def scenario(fleet):
+            caller = await test_stream_flows.start_fleet(
+                fleet, endpoints=1, balancers=1
+            )
+            await use_port_first(fleet, caller, "closed")
+            close_off(fleet, "draining")
+            await anyio.sleep(endpoint_flows.LINGER_S + 2.0)
+            if agent_restarts:
+                await test_kept_flows.restart(fleet.agent_by_name["e0"])
+            flow = await caller.open_kept_flow(SERVICE, PORT)
+            before = await flow.request()
+            silent_hosts.add(fleet.agent_by_name["e1"].settings.host)
+            await test_kept_flows.restart(fleet.balancer_by_name["b0"])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(flow.request)
+                await anyio.sleep(0.5)
+                silent_hosts.clear()
+            after = await flow.request()
+            endpoint = fleet.endpoint_by_name["e0"]
+            kinds = (before.kind, after.kind)
+            return kinds, len(flow.answers), endpoint.resets_sent
+
+        with mock.patch.object(agent.Agent, "_on_lookup", on_lookup):
+            result = test_stream_flows.run_scenario(scenario)
+        self.assertEqual((("answered", "answered"), 3, resets_sent), result)
+
     def test_a_late_end_of_the_earlier_flow_does_not_reach_the_caller(self):
         """Guards against a FIN of the earlier flow that ends the new one."""
 
