--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -22,7 +22,6 @@
 # Consecutive unanswered openings after which the endpoint is reported silent.
 MAX_UNANSWERED_OPENINGS = 3
 
-
 _log = logs.get("agent")
 
 
