Split the stand-ins of the stream deployment by what they simulate

Change: the store and its clients, the callers and the endpoints have a module each. Moved lines only; the daemons do not import them.

--- a/tests/failures/test_stream_robustness.py
+++ b/tests/failures/test_stream_robustness.py
@@ -21,6 +21,7 @@
 from bramleypin.internal.stream import view_manager
 from bramleypin.internal.stream import view_reader
 from bramleypin.standins import stream_fleet
+from bramleypin.standins import stream_store
 from tests.failures import test_kept_flows
 from tests.failures import test_stream_flows
 
@@ -122,7 +123,7 @@
         Daemons that start meanwhile and those that run read the store again
         later and see the change.
         """
-        original = getattr(stream_fleet.StoreClient, name)
+        original = getattr(stream_store.StoreClient, name)
         failing = False
 
         async def call(client, *arguments, **keywords):
@@ -152,7 +153,7 @@
                 if daemon.process.alive
             ]
 
-        with mock.patch.object(stream_fleet.StoreClient, name, call):
+        with mock.patch.object(stream_store.StoreClient, name, call):
             versions = test_stream_flows.run_scenario(scenario)
         self.assertEqual([2] * 5, versions)
 
@@ -171,7 +172,7 @@
 
         Peers without a newer view are no failures of the exchange.
         """
-        original = stream_fleet.StoreClient.watch
+        original = stream_store.StoreClient.watch
         failing = False
 
         async def watch(client, *arguments):
@@ -190,7 +191,7 @@
             return service.count_by_name
 
         with (
-            mock.patch.object(stream_fleet.StoreClient, "watch", watch),
+            mock.patch.object(stream_store.StoreClient, "watch", watch),
             mock.patch.object(
                 exchange._log, "warn_throttled", autospec=True
             ) as warnings,
