Copy no endpoints while no removal is due

The comment on the time-out of half-open flows gave a derivation that the value does not have. Change: it returns at once when no removal is due, as before; the comment says what the constant is. No behaviour changes. Ruled out: leaving it, as the cost is small at 17 machines; it is a scan of all endpoints for nothing. Measured: 62 tests of views, log tool, layers, reused ports and recovery pass.

--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -16,7 +16,7 @@
 LINGER_S = 10.0
 # Callers abandon an opening after this time; they send no copy of it later.
 OPENING_TIMEOUT_S = 1.4
-# Twice the above, rounded up, for packets that are still on their way.
+# A flow that is not established expires this long after its last packet.
 HALF_OPEN_TIMEOUT_S = 3.0
 # Weight of a new sample in the moving average of the service time.
 SAMPLE_WEIGHT = 0.1
--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -237,6 +237,8 @@
             for id_, lapsed in self._lapsed_by_id.items()
             if lapsed.removal_s <= now_s
         ]
+        if not due_ids:
+            return
         endpoint_by_id = dict(self.view.endpoint_by_id)
         for id_ in due_ids:
             lapsed = self._lapsed_by_id.pop(id_)
