Strip the number of suppressed lines from an event in one place

Cause: the new command `logs views` had a copy of what `logs summary` does. Change: log_lines.Line.base_event serves both. No behaviour changes.

--- a/src/bramleypin/internal/tool/log_lines.py
+++ b/src/bramleypin/internal/tool/log_lines.py
@@ -33,6 +33,11 @@
     event: str
     fields: dict[str, typing.Any]
 
+    @property
+    def base_event(self) -> str:
+        """The event without its number of suppressed lines."""
+        return self.event.partition(" (")[0]
+
     def details(self) -> str:
         """Return the fields as text."""
         return " ".join(f"{key}={value}" for key, value in self.fields.items())
@@ -178,7 +183,7 @@
     first_s = lines[0].time_s
     counts_by_reason: dict[str, collections.Counter] = {}
     for line in lines:
-        event = line.event.partition(" (")[0]
+        event = line.base_event
         if event not in LOSS_EVENTS:
             continue
         reason = line.fields.get("reason")
--- a/src/bramleypin/internal/tool/log_views.py
+++ b/src/bramleypin/internal/tool/log_views.py
@@ -52,11 +52,6 @@
     last_s: float
 
 
-def _event(line: log_lines.Line) -> str:
-    """Return a line's event without its number of suppressed lines."""
-    return line.event.partition(" (")[0]
-
-
 def adoptions(lines: list[log_lines.Line]) -> list[Adoption]:
     """Return the adoption of each version that a process reported.
 
@@ -71,7 +66,7 @@
     for line in lines:
         times_by_process[line.process].append(line.time_s)
         version = line.fields.get("version")
-        if _event(line) in VERSION_EVENTS and isinstance(version, int):
+        if line.base_event in VERSION_EVENTS and isinstance(version, int):
             versions_by_process[line.process].append((line.time_s, version))
             first_s_by_version.setdefault(version, line.time_s)
     return [
@@ -106,7 +101,7 @@
     periods: list[Outage] = []
     open_by_process: dict[str, Outage] = {}
     for line in lines:
-        event = _event(line)
+        event = line.base_event
         outage = open_by_process.get(line.process)
         if event in RECOVERY_EVENTS and outage is not None:
             outage.last_s = line.time_s
@@ -130,7 +125,7 @@
     """Count the lines about data that was left out, by event and error."""
     return collections.Counter(
         (
-            _event(line),
+            line.base_event,
             str(line.fields.get("item", "")),
             str(line.fields.get("error", "")),
         )
