Pass on no reset by an endpoint that has not shown that it holds the flow

Callers saw a reset on an open flow whose own endpoint sent none, after agents had restarted. Each such port had carried an earlier flow.

Cause, by the logs of a run on real processes: the balancer that took the packet had opened the port's earlier flow ("opening taken" in its log, none for the open flow) and kept its owner. Until its agent restarted, that agent returned packets of the open flow. A new process does not know the flow; it gave the packet to its endpoint, and as the balancer had marked it as confirmed, passed the endpoint's reset on to the caller.

Change: an entry of the balancer is tied to the caller's stream position, so a packet of another flow of the port is searched for. An agent marks a flow as verified once its endpoint has accepted it, or has answered at the positions of the caller's packets. Until then a reset goes no further than the agent, which returns the caller's packets; a search gets "maybe". What an endpoint does not hold is remembered for one flow of a port, not for all. Packets that were returned for an earlier flow no longer end a trial, an entry of a balancer or one of an agent. When several endpoints keep a tried packet, none of them is taken for the owner.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -216,17 +216,20 @@
         self._reports.record_balancer(host)
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
-        if entry is None:
-            if not self._endpoint_may_hold_flow(message, packet):
+        if entry is None or not entry.includes(
+            packet.acknowledged, packet.opening_sequence
+        ):
+            is_known = entry is not None and (
+                entry.verified or entry.is_offered
+            )
+            if is_known or not self._endpoint_may_hold_flow(message, packet):
                 self._return_packet(host, data)
                 return
             # The endpoint may hold flows from before this process started.
             entry = self.flows.add(flow)
             entry.established = True
-            entry.tried_packet = b"" if message.confirmed else data
-        elif not entry.includes(packet.acknowledged, packet.opening_sequence):
-            self._return_packet(host, data)
-            return
+        if not entry.verified:
+            entry.record_tried_packet(packet)
         entry.origin_host = host
         self._forward_to_endpoint(entry, packet)
 
@@ -238,7 +241,9 @@
         Shortly after the start, the flow's route may have named this service
         in a version of the configuration that this process has not seen.
         """
-        if packet.opening or self.flows.is_not_held(packet.flow_from_caller()):
+        if packet.opening or self.flows.is_not_held(
+            packet.flow_from_caller(), packet.acknowledged
+        ):
             return False
         if self.flows.started_recently():
             return True
@@ -298,22 +303,21 @@
         self._on_endpoint_answer()
         flow = packet.flow_from_endpoint()
         entry = self.flows.flow_by_key.get(flow)
+        if packet.rst and (entry is None or not entry.verified):
+            self._on_unverified_reset(entry)
+            return
         if entry is None:
             entry = self.flows.add(flow)
             entry.established = not packet.syn
         elif entry.is_from_earlier_flow(packet):
             self._metrics.count(agent_metrics.LATE_ANSWERS_DROPPED)
             return
-        if packet.rst and entry.tried_packet:
-            self._on_tried_flow_reset(entry)
-            return
-        entry.tried_packet = b""
         entry.seen_s = anyio.current_time()
-        if packet.syn:
-            entry.record_endpoint_sequence(packet.sequence)
-            if entry.offer is not None:
-                self._reply(entry.offer, "taken", "")
-                entry.offer, entry.opening = None, b""
+        if packet.syn or not entry.verified:
+            entry.record_endpoint_packet(packet)
+        if packet.syn and entry.offer is not None:
+            self._reply(entry.offer, "taken", "")
+            entry.offer, entry.opening = None, b""
         if packet.data_bytes and entry.record_endpoint_data(packet):
             self.flows.end_request(entry, answered=True)
         if packet.rst:
@@ -326,15 +330,28 @@
         self._metrics.count(agent_metrics.PACKETS_TO_CALLERS)
         self._peers.send_raw(data, entry.caller_address)
 
-    def _on_tried_flow_reset(self, entry: endpoint_flows.EndpointFlow) -> None:
-        """Return a packet that was tried at an endpoint and reset by it.
+    def _on_unverified_reset(
+        self, entry: endpoint_flows.EndpointFlow | None
+    ) -> None:
+        """Keep a reset from the caller if another endpoint may hold the flow.
 
-        The endpoint has ended an earlier flow with the same addresses and
-        ports, and its reset would break the caller's open one.
+        An endpoint that has ended an earlier flow with the same addresses and
+        ports resets data of the open one. The balancer gets the data back and
+        searches for the flow.
         """
+        self._metrics.count(agent_metrics.RESETS_WITHHELD)
+        if entry is not None and not entry.is_offered:
+            self._return_flow(entry, entry.tried_packets)
+
+    def _return_flow(
+        self, entry: endpoint_flows.EndpointFlow, packets: list[bytes]
+    ) -> None:
+        """Return packets of a flow that the endpoint does not hold."""
         self.flows.forget(entry)
-        self.flows.record_not_held(entry.flow)
-        self._return_packet(entry.origin_host, entry.tried_packet)
+        self.flows.record_not_held(entry)
+        if entry.origin_host:
+            for data in packets:
+                self._return_packet(entry.origin_host, data)
 
     def _on_endpoint_answer(self) -> None:
         self._unanswered_openings = 0
@@ -347,17 +364,21 @@
         self._on_endpoint_answer()
         flow = packet.flow_from_caller()
         entry = self.flows.flow_by_key.get(flow)
-        if entry is None:
+        if entry is None or not entry.includes(
+            packet.acknowledged, packet.opening_sequence
+        ):
+            # The packet is of an earlier flow.
             return
         if packet.opening:
             if entry.offer is not None:
                 self._on_opening_failed(entry)
             return
-        origin = entry.origin_host
         opened_here = entry.endpoint_sequence >= 0
         age_s = anyio.current_time() - entry.created_s
-        self.flows.forget(entry)
-        self.flows.record_not_held(flow)
+        returned_packets = entry.tried_packets or [
+            self._codec.original_packet(packet)
+        ]
+        self._return_flow(entry, [] if opened_here else returned_packets)
         _log.info(
             "the endpoint does not hold a flow",
             flow=str(flow),
@@ -370,8 +391,6 @@
             self._metrics.count(agent_metrics.FLOWS_RESET)
             reset = self._codec.reset(flow, packet.acknowledged)
             self._peers.send_raw(reset, entry.caller_address)
-        elif origin:
-            self._return_packet(origin, self._codec.original_packet(packet))
 
     async def _purge_flows(self) -> None:
         while True:
--- a/src/bramleypin/internal/stream/agent_metrics.py
+++ b/src/bramleypin/internal/stream/agent_metrics.py
@@ -41,6 +41,12 @@
     "packets",
     "Packets returned to a balancer, as their flow is not here.",
 )
+RESETS_WITHHELD = metrics.declare(
+    "stream.resets_withheld",
+    "counter",
+    "packets",
+    "Resets by an endpoint that has not shown that it holds the flow.",
+)
 LATE_ANSWERS_DROPPED = metrics.declare(
     "stream.late_answers_dropped",
     "counter",
--- a/src/bramleypin/internal/stream/balancer.py
+++ b/src/bramleypin/internal/stream/balancer.py
@@ -56,13 +56,26 @@
 class FlowOwner:
     """The agent that holds a flow, according to this balancer.
 
-    ``opening_sequence`` is that of the flow's opening, or -1 if unknown.
+    ``caller_position`` is that of the caller's latest packet, and
+    ``opening_sequence`` that of the flow's opening, or -1 if unknown.
     """
 
     host: str
     seen_s: float
+    caller_position: int
     opening_sequence: int = -1
 
+    def includes(self, packet: segment.Segment) -> bool:
+        """Return whether a caller's packet is of this flow.
+
+        It may be of another one with the same addresses and ports.
+        """
+        if packet.opening and self.opening_sequence >= 0:
+            return packet.sequence == self.opening_sequence
+        return packet.rst or segment.are_near(
+            packet.sequence, self.caller_position
+        )
+
 
 @kernel_module.service(
     "balancer",
@@ -154,10 +167,15 @@
             self._handle_unrouted(flow, packet)
             return
         if packet.opening:
-            self._forget_earlier_flow(flow, packet)
+            self._abandon_earlier_opening(flow, packet)
         owner = self.owner_by_flow.get(flow)
+        if owner is not None and not owner.includes(packet):
+            # The earlier flow's endpoint would get the packet unchecked.
+            del self.owner_by_flow[flow]
+            owner = None
         if owner is not None:
             owner.seen_s = now_s
+            owner.caller_position = packet.sequence
             self._forward(owner, packet)
             return
         opening = self._openings.opening_by_flow.get(flow)
@@ -177,17 +195,10 @@
         # another balancer before. An agent may already hold the flow.
         self._owners.search(packet)
 
-    def _forget_earlier_flow(
+    def _abandon_earlier_opening(
         self, flow: segment.Flow, packet: segment.Segment
     ) -> None:
-        """Forget a flow whose addresses and ports a new opening uses again.
-
-        Its packets would otherwise reach the earlier flow's endpoint, without
-        an admission check.
-        """
-        owner = self.owner_by_flow.get(flow)
-        if owner and owner.opening_sequence != packet.opening_sequence:
-            del self.owner_by_flow[flow]
+        """Abandon what is in progress for an earlier flow of the same port."""
         opening = self._openings.opening_by_flow.get(flow)
         if opening and opening.packet.sequence != packet.opening_sequence:
             self._openings.abandon(opening)
@@ -221,9 +232,8 @@
         self._peers.send(owner.host, frames.Data(confirmed=True), packet.raw)
 
     def _on_taken(self, opening: openings_module.Opening, host: str) -> None:
-        owner = FlowOwner(
-            host, anyio.current_time(), opening.packet.opening_sequence
-        )
+        start = opening.packet.sequence
+        owner = FlowOwner(host, anyio.current_time(), start, start)
         self._store_owner(opening.flow, owner)
         for packet in opening.waiting_packets:
             self._forward(owner, packet)
@@ -236,7 +246,12 @@
             self._owners.search(packet)
 
     def _on_found(self, search: owners_module.OwnerSearch, host: str) -> None:
-        owner = FlowOwner(host, anyio.current_time(), search.opening_sequence)
+        owner = FlowOwner(
+            host,
+            anyio.current_time(),
+            search.caller_position,
+            search.opening_sequence,
+        )
         self._store_owner(search.flow, owner)
         if search.opening is not None:
             self._forward(owner, search.opening)
@@ -248,7 +263,9 @@
             self._owners.delay_search(search.flow)
 
     def _on_held(self, trial: trials_module.Trial, host: str) -> None:
-        owner = FlowOwner(host, anyio.current_time())
+        owner = FlowOwner(
+            host, anyio.current_time(), trial.tried_packet.sequence
+        )
         self._store_owner(trial.search.flow, owner)
         for packet in trial.waiting_packets[1:]:
             self._forward(owner, packet)
@@ -281,10 +298,11 @@
         flow = packet.flow_from_caller()
         trial = self._trials.trial_by_flow.get(flow)
         if trial is not None:
-            self._trials.record_not_held(trial, host)
+            if trial.includes(packet):
+                self._trials.record_not_held(trial, host)
             return
         owner = self.owner_by_flow.get(flow)
-        if owner is None or owner.host != host:
+        if owner is None or owner.host != host or not owner.includes(packet):
             return
         del self.owner_by_flow[flow]
         if packet.ack or packet.opening:
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -27,18 +27,9 @@
 MAX_OPENING_COPIES = 8
 # Maximum number of flows that the endpoint is known not to hold.
 MAX_FLOWS_NOT_HELD = 20_000
-# Stream positions wrap around at 32 bits.
-SEQUENCE_MASK = 0xFFFFFFFF
-# Packets of a flow lie within this distance of the latest data, as an end has
-# at most 16 packets of 1,200 bytes in flight and resets may lie four times as
-# far away.
-MAX_POSITION_DISTANCE_BYTES = 76_800
-
-
-def _bytes_ahead(position: int, reference: int) -> int:
-    """Return how far a stream position lies ahead of another (or behind)."""
-    ahead = (position - reference) & SEQUENCE_MASK
-    return ahead if ahead <= SEQUENCE_MASK // 2 else ahead - SEQUENCE_MASK - 1
+# Maximum number of a flow's packets that are kept until its endpoint has shown
+# that it holds the flow. An endpoint acknowledges every second packet.
+MAX_TRIED_PACKETS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,10 +46,11 @@
     ``measures_service_time`` marks a request that started in a free slot, so
     its duration does not include queueing. ``budget_s`` is the time that
     the caller waits for an answer. ``caller_position`` is the end of the data
-    received from the caller, or -1 before the first byte;
+    received from the caller, or -1 before the first packet;
     ``endpoint_position`` is the same for the endpoint's data.
-    ``tried_packet`` is the caller's packet that was given to the endpoint to
-    see whether it holds the flow, until it has answered.
+    ``verified`` is true once the endpoint has shown that it holds this flow,
+    and not an earlier one with the same addresses and ports. Until then,
+    ``tried_packets`` are the caller's latest packets given to the endpoint.
     """
 
     flow: segment.Flow
@@ -80,14 +72,59 @@
     ended_s: float | None = None
     caller_position: int = -1
     endpoint_position: int = -1
-    tried_packet: bytes = b""
+    verified: bool = False
+    tried_packets: list[bytes] = dataclasses.field(default_factory=list)
+
+    @property
+    def is_offered(self) -> bool:
+        """Whether the endpoint has not answered the flow's opening yet."""
+        return self.offer is not None
+
+    def record_tried_packet(self, packet: segment.Segment) -> None:
+        """Record a packet given to an endpoint that may not hold the flow.
+
+        The first one tells the positions of a flow that is older than this
+        process.
+        """
+        if self.caller_position < 0:
+            self.caller_position = packet.sequence
+        if self.endpoint_position < 0 and _acknowledges_data(packet):
+            self.endpoint_position = packet.acknowledged
+        self.tried_packets.append(packet.raw)
+        del self.tried_packets[:-MAX_TRIED_PACKETS]
+
+    def record_endpoint_packet(self, packet: segment.Segment) -> None:
+        """Record what a SYN+ACK, or any packet of an unverified flow, tells.
+
+        An endpoint that has ended an earlier flow answers a FIN with an ACK,
+        data with a reset, and sends data only at the earlier flow's positions.
+        """
+        if packet.syn:
+            if packet.sequence != self.endpoint_sequence:
+                self.endpoint_sequence = packet.sequence
+                self.endpoint_position = packet.sequence
+            self._set_verified()
+        if self.opening_sequence < 0 and self.caller_position < 0:
+            # This process has not seen the flow's opening.
+            self.caller_position = packet.acknowledged
+        if packet.syn:
+            return
+        if self.endpoint_position < 0:
+            self.endpoint_position = packet.sequence
+        is_answer = packet.data_bytes or packet.fin or not self.caller_finished
+        if self.tried_packets and is_answer and self._is_near(packet.sequence):
+            self._set_verified()
+
+    def _set_verified(self) -> None:
+        self.verified = True
+        self.tried_packets.clear()
 
     def record_caller_data(self, packet: segment.Segment) -> bool:
         """Record a caller's data; return false if it is a retransmission."""
-        end = (packet.sequence + packet.data_bytes) & SEQUENCE_MASK
+        end = (packet.sequence + packet.data_bytes) & segment.SEQUENCE_MASK
         if (
             self.caller_position >= 0
-            and _bytes_ahead(end, self.caller_position) <= 0
+            and segment.bytes_ahead(end, self.caller_position) <= 0
         ):
             return False
         self.caller_position = end
@@ -98,42 +135,40 @@
 
         A late copy of an answer must not end the request after it.
         """
-        end = (packet.sequence + packet.data_bytes) & SEQUENCE_MASK
+        end = (packet.sequence + packet.data_bytes) & segment.SEQUENCE_MASK
         if self.endpoint_position >= 0:
-            ahead = _bytes_ahead(end, self.endpoint_position)
-            if -MAX_POSITION_DISTANCE_BYTES <= ahead <= 0:
+            ahead = segment.bytes_ahead(end, self.endpoint_position)
+            if -segment.MAX_POSITION_DISTANCE_BYTES <= ahead <= 0:
                 return False
         self.endpoint_position = end
         return True
 
     def is_from_earlier_flow(self, packet: segment.Segment) -> bool:
-        """Return whether an endpoint's data or FIN is from an earlier flow.
+        """Return whether an endpoint's packet is from an earlier flow.
 
         A caller may use the port of an ended flow again while its endpoint
-        still sends copies of the last answer. Unknown for a flow that is
-        older than this process, as its start was not seen.
+        still sends copies of the last answer. Unknown for an unverified flow
+        that is older than this process.
         """
+        if packet.syn:
+            return False
+        if self.is_offered:
+            return True
         is_stream_part = packet.data_bytes or packet.fin
-        if not is_stream_part or packet.syn or self.endpoint_sequence < 0:
+        if not is_stream_part or not self.verified:
             return False
         return not self._is_near(packet.sequence)
 
     def _is_near(self, position: int) -> bool:
         """Return whether a position is close to the endpoint's latest data."""
-        distance = _bytes_ahead(position, self.endpoint_position)
-        return abs(distance) <= MAX_POSITION_DISTANCE_BYTES
-
-    def record_endpoint_sequence(self, sequence: int) -> None:
-        """Record the sequence number of the endpoint's SYN+ACK."""
-        if sequence != self.endpoint_sequence:
-            self.endpoint_sequence = sequence
-            self.endpoint_position = sequence
+        return segment.are_near(position, self.endpoint_position)
 
     def is_acknowledged_by(self, acknowledged: int) -> bool:
         """Return whether a number acknowledges this endpoint's SYN+ACK."""
         if self.endpoint_sequence < 0:
             return False
-        return (acknowledged - self.endpoint_sequence) & SEQUENCE_MASK <= 1
+        ahead = (acknowledged - self.endpoint_sequence) & segment.SEQUENCE_MASK
+        return ahead <= 1
 
     def includes(self, acknowledged: int, opening_sequence: int) -> bool:
         """Return whether a caller's packet is of this flow.
@@ -146,7 +181,11 @@
             if self.opening_sequence >= 0:
                 return opening_sequence == self.opening_sequence
             age_s = anyio.current_time() - self.created_s
-            return self.ended_s is None and age_s < OPENING_TIMEOUT_S
+            return (
+                self.ended_s is None
+                and age_s < OPENING_TIMEOUT_S
+                and segment.are_near(opening_sequence, self.caller_position)
+            )
         if acknowledged < MAX_OPENING_COPIES:
             # The packet acknowledges nothing.
             return True
@@ -155,6 +194,10 @@
         return self.endpoint_position < 0 or self._is_near(acknowledged)
 
 
+def _acknowledges_data(packet: segment.Segment) -> bool:
+    return packet.ack and packet.acknowledged >= MAX_OPENING_COPIES
+
+
 class EndpointFlows:
     """The endpoint's flow table and the load derived from it.
 
@@ -175,9 +218,11 @@
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
         self._started_s = anyio.current_time()
-        self._flows_not_held: collections.OrderedDict[segment.Flow, None] = (
-            collections.OrderedDict()
-        )
+        # The endpoint's position in each flow that it does not hold; ``None``
+        # if it holds no other flow with these addresses and ports either.
+        self._position_by_flow_not_held: collections.OrderedDict[
+            segment.Flow, int | None
+        ] = collections.OrderedDict()
 
     def add(self, key: segment.Flow) -> EndpointFlow:
         """Add a flow, which replaces an earlier one with the same key.
@@ -192,21 +237,31 @@
         entry = EndpointFlow(key, address, now_s, now_s)
         self.flow_by_key[key] = entry
         self.open_flow_count += 1
-        self._flows_not_held.pop(key, None)
+        self._position_by_flow_not_held.pop(key, None)
         return entry
 
-    def record_not_held(self, key: segment.Flow) -> None:
+    def record_not_held(self, entry: EndpointFlow) -> None:
         """Record that the endpoint returned or ended a flow.
 
         It does not hold the flow unless it accepts an opening for it later.
+        If it never held it, it may hold another one with the same addresses
+        and ports; after a verified one, this process would know that.
         """
-        self._flows_not_held[key] = None
-        if len(self._flows_not_held) > MAX_FLOWS_NOT_HELD:
-            self._flows_not_held.popitem(last=False)
+        positions = self._position_by_flow_not_held
+        position = None if entry.verified else entry.endpoint_position
+        positions[entry.flow] = position
+        if len(positions) > MAX_FLOWS_NOT_HELD:
+            positions.popitem(last=False)
+
+    def is_not_held(self, key: segment.Flow, acknowledged: int) -> bool:
+        """Return whether the endpoint is known not to hold a flow.
 
-    def is_not_held(self, key: segment.Flow) -> bool:
-        """Return whether the endpoint is known not to hold a flow."""
-        return key in self._flows_not_held
+        ``acknowledged`` is the position that its caller acknowledges.
+        """
+        position = self._position_by_flow_not_held.get(key, -1)
+        if position is None:
+            return True
+        return position >= 0 and segment.are_near(position, acknowledged)
 
     def started_recently(self) -> bool:
         """Return whether flows older than this process may still be open."""
@@ -225,11 +280,15 @@
         packet, as in ``EndpointFlow.includes``.
         """
         entry = self.flow_by_key.get(key)
-        if entry is None:
-            may_hold = self.started_recently() and not self.is_not_held(key)
-            return "maybe" if may_hold else "no"
-        includes = entry.includes(acknowledged, opening_sequence)
-        return "holds" if includes else "no"
+        if entry is not None:
+            includes = entry.includes(acknowledged, opening_sequence)
+            if entry.verified or entry.is_offered:
+                return "holds" if includes else "no"
+            if includes:
+                return "maybe"
+        if self.is_not_held(key, acknowledged):
+            return "no"
+        return "maybe" if self.started_recently() else "no"
 
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
@@ -287,7 +346,7 @@
                 is_quiet = now_s - entry.seen_s > LINGER_S / 2
                 if was_ended and is_quiet and self.started_recently():
                     # Flows that this process does not know may be open.
-                    self.record_not_held(entry.flow)
+                    self.record_not_held(entry)
             elif (
                 entry.request_started_s is not None
                 and now_s - entry.request_started_s > entry.budget_s
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -60,6 +60,8 @@
     were asked. ``opening`` is the flow's latest opening packet, if any
     arrived, and ``waiting_packets`` are its other packets. The agents in
     ``possible_hosts`` cannot rule out that they hold the flow.
+    ``caller_position``, ``acknowledged`` and ``opening_sequence`` are those of
+    the first packet.
     ``newest_revision`` is the highest revision of the answering agents' views,
     ``longest_uptime_s`` the time since the first of these agents started.
     """
@@ -76,6 +78,7 @@
     answer_count: int = 0
     newest_revision: int = -1
     longest_uptime_s: float = 0.0
+    caller_position: int = 0
     acknowledged: int = 0
     opening_sequence: int = -1
     asked_all: bool = False
@@ -156,6 +159,7 @@
             asked_hosts={},
             opening=packet if packet.opening else None,
             waiting_packets=[] if packet.opening else [packet],
+            caller_position=packet.sequence,
             acknowledged=packet.acknowledged,
             opening_sequence=packet.opening_sequence,
         )
--- a/src/bramleypin/internal/stream/segment.py
+++ b/src/bramleypin/internal/stream/segment.py
@@ -4,6 +4,28 @@
 import socket
 import typing
 
+# Stream positions wrap around at 32 bits.
+SEQUENCE_MASK = 0xFFFFFFFF
+# Packets of a flow lie within this distance of the latest data, as an end has
+# at most 16 packets of 1,200 bytes in flight and resets may lie four times as
+# far away.
+MAX_POSITION_DISTANCE_BYTES = 76_800
+
+
+def bytes_ahead(position: int, reference: int) -> int:
+    """Return how far a stream position lies ahead of another (or behind)."""
+    ahead = (position - reference) & SEQUENCE_MASK
+    return ahead if ahead <= SEQUENCE_MASK // 2 else ahead - SEQUENCE_MASK - 1
+
+
+def are_near(position: int, other: int) -> bool:
+    """Return whether two positions may be of packets of the same stream.
+
+    Flows that use the same addresses and ports one after the other start at
+    random positions, which are rarely this close.
+    """
+    return abs(bytes_ahead(position, other)) <= MAX_POSITION_DISTANCE_BYTES
+
 
 class Flow(typing.NamedTuple):
     """The key of a stream flow: caller and service address.
--- a/src/bramleypin/internal/stream/trials.py
+++ b/src/bramleypin/internal/stream/trials.py
@@ -63,6 +63,15 @@
     waiting_packets: list[segment.Segment]
     deadline_s: float = 0.0
 
+    @property
+    def tried_packet(self) -> segment.Segment:
+        """The packet that the endpoints get."""
+        return self.waiting_packets[0]
+
+    def includes(self, packet: segment.Segment) -> bool:
+        """Return whether a caller's packet is of the flow that is tried."""
+        return segment.are_near(packet.sequence, self.tried_packet.sequence)
+
 
 @kernel_module.service(
     "trials", roles=("stream_balancer",), needs=("peer_port", "metrics")
@@ -117,7 +126,7 @@
         trial.deadline_s = anyio.current_time() + BOUNCE_TIMEOUT_S
         message = frames.Data(confirmed=False)
         for host in hosts:
-            self._peers.send(host, message, trial.waiting_packets[0].raw)
+            self._peers.send(host, message, trial.tried_packet.raw)
         self._ticker.wake()
 
     def _try_remaining(self, trial: Trial) -> None:
@@ -151,9 +160,12 @@
             self._try_remaining(trial)
             return
         self.trial_by_flow.pop(trial.search.flow, None)
-        if trial.pending_hosts:
+        if len(trial.pending_hosts) == 1:
             self.on_held(trial, trial.pending_hosts[0])
             return
+        if trial.pending_hosts:
+            self._send_on_to_all(trial)
+            return
         self._metrics.count(TRIALS_FAILED)
         _log.info(
             "none of the endpoints tried holds the flow",
@@ -163,6 +175,18 @@
         )
         self.on_held_nowhere(trial)
 
+    def _send_on_to_all(self, trial: Trial) -> None:
+        """Send a flow's other packets to all endpoints that kept the first.
+
+        One of them holds the flow. Others may be away, or keep packets without
+        data of an earlier flow, so none is taken for the owner: the next
+        packet is searched for again.
+        """
+        message = frames.Data(confirmed=False)
+        for packet in trial.waiting_packets[1:]:
+            for host in trial.pending_hosts:
+                self._peers.send(host, message, packet.raw)
+
     async def run(self) -> None:
         """Complete trials whose packet was not returned in time."""
         while True:
--- a/src/bramleypin/standins/stream_callers.py
+++ b/src/bramleypin/standins/stream_callers.py
@@ -236,7 +236,11 @@
 
     def acknowledge(self) -> None:
         """Send a packet without data."""
-        self._send(b"")
+        self.send(b"")
+
+    def finish(self) -> None:
+        """Send a FIN after the data."""
+        self.send(b"", stream_codec.ACK | stream_codec.FIN)
 
     async def request(self, budget_s: float = 4.0) -> Outcome:
         """Send one request and wait up to ``budget_s`` for its outcome."""
@@ -251,7 +255,7 @@
     async def _exchange(self, data: bytes) -> str:
         interval_s = RETRANSMIT_INTERVAL_S
         while True:
-            self._send(data)
+            self.send(data)
             until_s = anyio.current_time() + interval_s
             interval_s = min(MAX_RETRANSMIT_INTERVAL_S, 2 * interval_s)
             packet = await self._caller.wait_for_packet(
@@ -266,11 +270,12 @@
             self.acknowledge()
             return "answered"
 
-    def _send(self, data: bytes) -> None:
+    def send(self, data: bytes, flags: int = stream_codec.ACK) -> None:
+        """Send a packet at the position of the next request."""
         self._caller.send(
             self.flow[:2],
             self.flow[2:],
-            stream_codec.ACK,
+            flags,
             self._position,
             self._acknowledged,
             data,
