Remove a lapsed endpoint only while the store shows that it is missing

Callers would see resets of open flows after a planned restart: a live endpoint was missing from all views.

Cause: a registration that lapses in an outage is kept for the two seconds that its endpoint has to register again. The removal was due by the clock alone. With the store away again meanwhile, the endpoint could not register, and no daemon could have seen it, but all removed it.

Change: a removal needs an answer of the store, or two seconds of unbroken confirmation by a relay, after it is due. A watch ends when a removal is due, so a removal is no later than before while the store answers. The end of a further outage renews the time of all pending removals.

Ruled out: that a relay alone removed it; all nine daemons did in the test. Relying on the next regular watch: up to 4 s later. Relying on a relay's confirmation as such: it comes back before the endpoint's registration, one daemon removed it then.

Measured: test_a_live_endpoint_stays_in_all_views_when_an_outage, on the code before: two of four cases fail at eight daemons, a third one with the stand-in's waiting watches failing in a silent outage as the store's do; with the change all pass.

--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -136,6 +136,7 @@
         )
         self._relay_by_host: dict[str, _RelayState] = {}
         self._store_answered_s = float("-inf")
+        self._unconfirmed_s = anyio.current_time()
         self._announced_view = self._view_manager.view
         self._confirmation_changed = anyio.Event()
         self._peers.set_handler(RelayQuery, self._on_query)
@@ -172,6 +173,12 @@
         )
         return max(0.0, max(left_s, default=0.0))
 
+    def last_unconfirmed_s(self) -> float:
+        """Return when the view was last unconfirmed, or a relay said so."""
+        if self.confirmed_for_s() <= 0:
+            self._unconfirmed_s = anyio.current_time()
+        return self._unconfirmed_s
+
     async def wait_until_unconfirmed(self) -> None:
         """Wait until no relay confirms that the view is current."""
         while (left_s := self.confirmed_for_s()) > 0:
@@ -252,6 +259,8 @@
                 own=self._view_manager.view.revision,
             )
         now_s = anyio.current_time()
+        if not message.confirmed:
+            self._unconfirmed_s = now_s
         self._relay_by_host[host] = _RelayState(
             message.revision, message.confirmed, now_s
         )
--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -1,6 +1,7 @@
 """Holds the view and merges changes from the store and from peers."""
 
 import dataclasses
+import math
 
 import anyio
 
@@ -192,9 +193,17 @@
         await self._view_changed.wait()
 
     def delay_removals(self) -> None:
-        """Keep lapsed registrations for ``bounds.reregistration_s``."""
+        """Keep lapsed registrations for ``bounds.reregistration_s``.
+
+        This includes those that lapsed in an earlier outage, since their
+        endpoints may not have reached the store before the latest one.
+        """
         grace_s = self.kernel.settings.bounds.reregistration_s
         self._no_removal_until_s = anyio.current_time() + grace_s
+        self._lapsed_by_id = {
+            id_: _LapsedRegistration(self._no_removal_until_s, lapsed.revision)
+            for id_, lapsed in self._lapsed_by_id.items()
+        }
 
     def record_first_listing(self) -> None:
         """Treat the listing as incomplete for ``bounds.reregistration_s``.
@@ -229,13 +238,23 @@
             return True
         return now_s >= self._listing_incomplete_until_s
 
-    def remove_lapsed(self) -> None:
-        """Remove lapsed endpoints that did not register again in time."""
-        now_s = anyio.current_time()
+    def next_removal_s(self) -> float:
+        """Return when the next lapsed endpoint is due; infinite if none is."""
+        return min(
+            (lapsed.removal_s for lapsed in self._lapsed_by_id.values()),
+            default=math.inf,
+        )
+
+    def remove_lapsed(self, current_s: float) -> None:
+        """Remove lapsed endpoints that did not register again in time.
+
+        ``current_s`` is when the view was last known to be current. What has
+        registered since then is not known.
+        """
         due_ids = [
             id_
             for id_, lapsed in self._lapsed_by_id.items()
-            if lapsed.removal_s <= now_s
+            if lapsed.removal_s <= current_s
         ]
         if not due_ids:
             return
--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -17,6 +17,8 @@
 # connection later, though a drained endpoint must receive no new flow after
 # 3 s; a shorter watch costs more calls.
 WATCH_WAIT_S = 4.0
+# Minimum duration of a watch that ends early for the sake of a removal.
+MIN_WATCH_WAIT_S = 0.1
 # Changes arrive in groups, e.g. when several endpoints start. After a change,
 # the next watch is delayed by this time and fetches the rest of the group in
 # one call. This is a tenth of the tightest bound for a change, 3 s.
@@ -102,6 +104,7 @@
         self._source: view_module.ViewSource = kernel.environment.platform
         self._random = kernel.environment.random
         self._listing_complete = False
+        self._store_answered_s = float("-inf")
         self.store_failing = False
 
     async def run(self) -> None:
@@ -150,6 +153,7 @@
             self._apply(results)
             # A relay must not confirm a view that lacks these changes.
             self._relay.record_store_answer()
+            self._store_answered_s = anyio.current_time()
             self._listing_complete = True
             if self._view_manager.view.revision > old_revision:
                 await anyio.sleep(self._group_delay_s())
@@ -258,6 +262,10 @@
         wait_s = WATCH_WAIT_S
         if self._relay.has_followers():
             wait_s = min(wait_s, self._relay.watch_wait_s)
+        # An endpoint is removed only if an answer shows that it is still
+        # missing when its removal is due.
+        due_s = self._view_manager.next_removal_s() - anyio.current_time()
+        wait_s = max(min(wait_s, due_s), MIN_WATCH_WAIT_S)
         with _unexpected_errors_as_unusable():
             return (await self._source.watch(revision, wait_s),)
 
@@ -270,4 +278,17 @@
     async def _remove_lapsed_periodically(self) -> None:
         while True:
             await anyio.sleep(self.kernel.settings.bounds.reregistration_s / 4)
-            guard.call(self._metrics, self._view_manager.remove_lapsed)
+            guard.call(self._metrics, self._remove_lapsed)
+
+    def _remove_lapsed(self) -> None:
+        """Remove lapsed endpoints if the view is known to be current.
+
+        A relay that confirms the view again may have had an outage, so it has
+        to confirm it for as long as endpoints may take to register again.
+        """
+        now_s = anyio.current_time()
+        current_s = self._store_answered_s
+        grace_s = self.kernel.settings.bounds.reregistration_s
+        if now_s - self._relay.last_unconfirmed_s() >= grace_s:
+            current_s = now_s
+        self._view_manager.remove_lapsed(current_s)
--- a/src/bramleypin/standins/stream_store.py
+++ b/src/bramleypin/standins/stream_store.py
@@ -39,7 +39,8 @@
     ``refused_hosts`` always do. While ``silent`` is set, all requests stay
     unanswered and fail after ``LISTING_TIMEOUT_S``; those of ``silent_hosts``
     always do. A watch that is already waiting fails in the same way at the
-    next change. A stale listing shows the state ``stale_commits`` changes ago.
+    next change or at its end. A stale listing shows the state
+    ``stale_commits`` changes ago.
     ``calls`` counts calls as they are charged: a stale one costs a tenth.
     """
 
@@ -166,6 +167,7 @@
             while self.revision <= after:
                 await self._change_event.wait()
                 await self._raise_if_unavailable(host)
+        await self._raise_if_unavailable(host)
         changes = [item for item in self._change_log if item[0] > after]
         by_kind: dict[str, list] = {}
         for _, kind, value in changes:
--- a/tests/cover/test_stream_view.py
+++ b/tests/cover/test_stream_view.py
@@ -138,7 +138,7 @@
                 manager.delay_removals()
             manager.apply(changes(3, removed_ids=("e",)))
             await anyio.sleep(wait_s)
-            manager.remove_lapsed()
+            manager.remove_lapsed(anyio.current_time())
             return set(manager.view.endpoint_by_id)
 
         self.assertEqual(remaining_ids, run_with_manager(scenario))
@@ -177,7 +177,7 @@
             if lapses_again:
                 manager.apply(changes(5, removed_ids=("e",)))
             await anyio.sleep(5.0)
-            manager.remove_lapsed()
+            manager.remove_lapsed(anyio.current_time())
             return set(manager.view.endpoint_by_id)
 
         self.assertEqual(remaining_ids, run_with_manager(scenario))
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -464,3 +464,55 @@
         (delta,) = view_delta.deltas_between(old_view, new_view, 0.0)
         delta.version = 7
         self.assertIsNone(view_delta.changes_from_delta(old_view, delta, 0.0))
+
+
+class OutagesTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("ends", "", 0.0, set()),
+            ("is followed by another one", "down", 3.0, set()),
+            ("is followed by a long one", "down", 8.0, set()),
+            ("is followed by one without answers", "silent", 3.0, set()),
+        ]
+    )
+    def test_a_live_endpoint_stays_in_all_views_when_an_outage(
+        self, _, second_outage, second_outage_s, expected
+    ):
+        """Guards against a removal that was put off and is then overdue.
+
+        The endpoint's registration lapses in the first outage. It registers
+        again as soon as the store has been back for a second and a half.
+        """
+
+        async def scenario(fleet):
+            await start_fleet(fleet)
+            missing = set()
+
+            async def watch_views():
+                while True:
+                    missing.update(
+                        daemon.settings.id
+                        for daemon in daemons(fleet)
+                        if "e1"
+                        not in daemon.kernel.get("view").view.endpoint_by_id
+                    )
+                    await anyio.sleep(0.05)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch_views)
+                fleet.store.down = True
+                fleet.store.remove("e1")
+                await anyio.sleep(4.0)
+                fleet.store.down = False
+                if second_outage:
+                    await anyio.sleep(0.6)
+                    setattr(fleet.store, second_outage, True)
+                    await anyio.sleep(second_outage_s)
+                    setattr(fleet.store, second_outage, False)
+                await anyio.sleep(1.5)
+                fleet.store.put(fleet.registration("e1"))
+                await anyio.sleep(8.0)
+                tasks.cancel_scope.cancel()
+            return missing
+
+        self.assertEqual(expected, test_stream_flows.run_scenario(scenario))
