Tell other daemons which endpoints of a view have lapsed

An endpoint that had gone stayed in the view of a daemon for as long as its entry did not change. Found by the test that removals which are put off do happen, after an outage of 4 s: one agent of nine, a relay, kept it.

Cause: a daemon that keeps a lapsed endpoint for the time being passed it on like any other, in deltas and in whole views. Whoever took it over at the revision of the removal never heard of the removal. The relay's own removal comes at an unchanged revision, so a follower can't notice if that frame is lost.

Change: deltas and views name the lapsed endpoints, and each daemon removes them itself when they are due. The new field is required: a delta or view of an older version of the program is refused as malformed, and its reader asks the store.

--- a/src/bramleypin/internal/stream/exchange.py
+++ b/src/bramleypin/internal/stream/exchange.py
@@ -1,5 +1,7 @@
 """Fetches the view from other daemons when the store is unavailable."""
 
+import typing
+
 import anyio
 import cbor2
 import msgspec
@@ -49,7 +51,8 @@
     ``routes`` and ``services`` are ``None`` when both daemons have the same
     configuration version. ``cold_s`` of an endpoint is the cold time that
     remains when the answer is sent, in seconds. ``domains_out`` are the
-    failure domains that are out of service.
+    failure domains that are out of service, and ``lapsed_ids`` the endpoints
+    that will be removed unless they register again.
     """
 
     revision: int
@@ -59,10 +62,14 @@
     services: list[view_module.Service] | None
     endpoints: list[view_module.Endpoint]
     domains_out: list[str]
+    lapsed_ids: list[str]
 
 
 def build_answer(
-    request: ViewRequest, view: view_module.View, now_s: float
+    request: ViewRequest,
+    view: view_module.View,
+    now_s: float,
+    lapsed_ids: typing.Iterable[str] = (),
 ) -> ViewAnswer:
     """Return the answer to a daemon with an older view."""
     configuration = view.configuration
@@ -82,6 +89,7 @@
         None if same_version else list(configuration.service_by_name.values()),
         endpoints,
         sorted(view.domains_out),
+        list(lapsed_ids),
     )
 
 
@@ -161,7 +169,9 @@
                 view = self._view_manager.view
                 body = NO_NEWER_VIEW
                 if view.revision > request.revision:
-                    answer = build_answer(request, view, anyio.current_time())
+                    lapsed_ids = self._view_manager.lapsed_ids()
+                    now_s = anyio.current_time()
+                    answer = build_answer(request, view, now_s, lapsed_ids)
                     body = cbor2.dumps(msgspec.to_builtins(answer))
                 await link.send(body)
         except (errors.LinkClosed, errors.InvalidFrame) as error:
@@ -213,8 +223,9 @@
                 self._peers.forget(host)
                 self._metrics.count(VIEWS_NOT_NEWER)
                 return
+            answer = frames.decode_body(data, ViewAnswer)
             view = view_from_answer(
-                frames.decode_body(data, ViewAnswer),
+                answer,
                 self._view_manager.view.configuration,
                 anyio.current_time(),
             )
@@ -232,5 +243,5 @@
                 error=str(error),
             )
             return
-        if self._view_manager.install_if_newer(view):
+        if self._view_manager.install_if_newer(view, answer.lapsed_ids):
             self._metrics.count(VIEWS_FETCHED)
--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -138,6 +138,7 @@
         self._store_answered_s = float("-inf")
         self._unconfirmed_s = anyio.current_time()
         self._announced_view = self._view_manager.view
+        self._announced_lapsed_ids: frozenset[str] = frozenset()
         self._confirmation_changed = anyio.Event()
         self._peers.set_handler(RelayQuery, self._on_query)
         self._peers.set_handler(RelayAnswer, self._on_answer)
@@ -219,14 +220,23 @@
                 self._announced_view,
                 self._view_manager.view,
             )
-            guard.call(self._metrics, self._announce_change, old)
+            old_lapsed_ids, self._announced_lapsed_ids = (
+                self._announced_lapsed_ids,
+                frozenset(self._view_manager.lapsed_ids()),
+            )
+            lapsed_ids = sorted(self._announced_lapsed_ids - old_lapsed_ids)
+            guard.call(self._metrics, self._announce_change, old, lapsed_ids)
 
-    def _announce_change(self, old: view_module.View) -> None:
+    def _announce_change(
+        self, old: view_module.View, lapsed_ids: list[str]
+    ) -> None:
         hosts = self._followers.newest_first()
         if not hosts:
             return
         now_s = anyio.current_time()
-        deltas = view_delta.deltas_between(old, self._announced_view, now_s)
+        deltas = view_delta.deltas_between(
+            old, self._announced_view, now_s, lapsed_ids
+        )
         for delta in deltas:
             self._peers.send_to_all(hosts, delta)
         if not deltas:
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -235,8 +235,9 @@
     ``complete`` marks a full listing, which replaces all earlier state.
     ``removed_ids`` are the endpoints whose registrations ended,
     ``domains_out`` and ``domains_returned`` the failure domains that were
-    taken out of service and returned to it. ``skipped_count`` is the number of
-    entries that could not be decoded.
+    taken out of service and returned to it. ``lapsed_ids`` are endpoints whose
+    registrations ended in an outage, so that they may come back.
+    ``skipped_count`` is the number of entries that could not be decoded.
     """
 
     revision: int
@@ -247,6 +248,7 @@
     domains_returned: tuple[str, ...]
     complete: bool = False
     skipped_count: int = 0
+    lapsed_ids: tuple[str, ...] = ()
 
     @property
     def empty(self) -> bool:
@@ -258,6 +260,7 @@
             or self.removed_ids
             or self.domains_out
             or self.domains_returned
+            or self.lapsed_ids
         )
 
 
--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -1,6 +1,7 @@
 """View deltas that relays send to their followers."""
 
 import dataclasses
+import typing
 
 import msgspec
 
@@ -72,7 +73,8 @@
 
     It applies only to a view of exactly the revision ``base`` with
     configuration ``version``. ``domains_out`` lists all failure domains that
-    are out of service.
+    are out of service. ``lapsed_ids`` are endpoints that will be removed
+    unless they register again.
     """
 
     base: int
@@ -81,6 +83,7 @@
     endpoints: list[EndpointRecord]
     removed_ids: list[str]
     domains_out: list[str]
+    lapsed_ids: list[str]
     configuration: ConfigurationChange | None = None
 
     def view_revision(self) -> int:
@@ -173,10 +176,14 @@
 
 
 def deltas_between(
-    old: view_module.View, new: view_module.View, now_s: float
+    old: view_module.View,
+    new: view_module.View,
+    now_s: float,
+    lapsed_ids: typing.Iterable[str] = (),
 ) -> list[ViewDelta]:
     """Return the deltas between a view and a later one, in order.
 
+    ``lapsed_ids`` are endpoints whose registrations have lapsed in between.
     Large changes are split into several deltas. Removals and the
     configuration come first, so a daemon that misses a later delta still has
     every change up to the revision it has reached. The list is empty if one
@@ -194,6 +201,7 @@
         id_ for id_ in old.endpoint_by_id if id_ not in new.endpoint_by_id
     ]
     domains_out = sorted(new.domains_out)
+    lapsed_ids = list(lapsed_ids)
     version = new.configuration.version
     deltas: list[ViewDelta] = []
     base = old.revision
@@ -209,10 +217,11 @@
                 [],
                 removed_ids,
                 domains_out,
+                lapsed_ids,
                 change,
             )
         )
-        removed_ids = []
+        removed_ids, lapsed_ids = [], []
     for start in range(0, max(1, len(changed_endpoints)), ENDPOINTS_PER_FRAME):
         chunk = changed_endpoints[start : start + ENDPOINTS_PER_FRAME]
         is_last = start + ENDPOINTS_PER_FRAME >= len(changed_endpoints)
@@ -222,10 +231,16 @@
         records = [_endpoint_record(endpoint, now_s) for endpoint in chunk]
         deltas.append(
             ViewDelta(
-                base, revision, version, records, removed_ids, domains_out
+                base,
+                revision,
+                version,
+                records,
+                removed_ids,
+                domains_out,
+                lapsed_ids,
             )
         )
-        base, removed_ids = revision, []
+        base, removed_ids, lapsed_ids = revision, [], []
     try:
         for delta in deltas:
             frames.encode(delta)
@@ -259,4 +274,5 @@
         removed_ids=tuple(delta.removed_ids),
         domains_out=tuple(set(delta.domains_out) - view.domains_out),
         domains_returned=tuple(view.domains_out - set(delta.domains_out)),
+        lapsed_ids=tuple(delta.lapsed_ids),
     )
--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import typing
 
 import anyio
 
@@ -91,7 +92,9 @@
                 self._log_endpoint(endpoint, old)
         for id_ in removed_ids & endpoint_by_id.keys():
             if now_s < self._no_removal_until_s:
-                self._record_lapsed(endpoint_by_id[id_])
+                self._record_lapsed(
+                    endpoint_by_id[id_], self._no_removal_until_s
+                )
                 continue
             removed_endpoint = endpoint_by_id.pop(id_)
             _log.info(
@@ -112,9 +115,18 @@
                 frozenset(domains_out),
             )
         )
+        self._record_lapsed_elsewhere(changes.lapsed_ids)
 
-    def install_if_newer(self, peer_view: view_module.View) -> bool:
-        """Install another daemon's view; return false if it is not newer."""
+    def install_if_newer(
+        self,
+        peer_view: view_module.View,
+        lapsed_ids: typing.Iterable[str] = (),
+    ) -> bool:
+        """Install another daemon's view; return false if it is not newer.
+
+        That daemon has kept the endpoints in ``lapsed_ids`` for the time being
+        though the store has removed their registrations.
+        """
         if peer_view.revision <= self.view.revision or not peer_view.loaded:
             return False
         if peer_view.configuration.version < self.view.configuration.version:
@@ -126,13 +138,36 @@
             version=peer_view.configuration.version,
         )
         self._install(peer_view)
+        self._record_lapsed_elsewhere(lapsed_ids)
         return True
 
-    def _record_lapsed(self, endpoint: view_module.Endpoint) -> None:
+    def _record_lapsed_elsewhere(
+        self, lapsed_ids: typing.Iterable[str]
+    ) -> None:
+        """Record endpoints that another daemon told to have lapsed."""
+        grace_s = self.kernel.settings.bounds.reregistration_s
+        removal_s = anyio.current_time() + grace_s
+        for id_ in lapsed_ids:
+            endpoint = self.view.endpoint_by_id.get(id_)
+            if endpoint is not None:
+                self._record_lapsed(endpoint, removal_s)
+
+    def lapsed_ids(self) -> list[str]:
+        """Return the endpoints of the view whose registrations have lapsed."""
+        return [
+            id_
+            for id_, lapsed in self._lapsed_by_id.items()
+            if id_ in self.view.endpoint_by_id
+            and self.view.endpoint_by_id[id_].revision <= lapsed.revision
+        ]
+
+    def _record_lapsed(
+        self, endpoint: view_module.Endpoint, removal_s: float
+    ) -> None:
         lapsed = self._lapsed_by_id.get(endpoint.id)
         if lapsed is None or lapsed.revision < endpoint.revision:
             self._lapsed_by_id[endpoint.id] = _LapsedRegistration(
-                self._no_removal_until_s, endpoint.revision
+                removal_s, endpoint.revision
             )
 
     def _newer_configuration(
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -516,3 +516,21 @@
             return missing
 
         self.assertEqual(expected, test_stream_flows.run_scenario(scenario))
+
+    def test_an_endpoint_that_does_not_register_again_leaves_all_views(self):
+        """Guards against removals that are put off for ever."""
+
+        async def scenario(fleet):
+            await start_fleet(fleet)
+            fleet.store.down = True
+            fleet.store.remove("e1")
+            await anyio.sleep(4.0)
+            fleet.store.down = False
+            await anyio.sleep(6.0)
+            return {
+                daemon.settings.id
+                for daemon in daemons(fleet)
+                if "e1" in daemon.kernel.get("view").view.endpoint_by_id
+            }
+
+        self.assertEqual(set(), test_stream_flows.run_scenario(scenario))
