Put the removals of a long change into each of its deltas

A daemon that follows a relay kept an endpoint that had gone, at a revision that the relay confirmed as current. Offers to it went unanswered, and no search that asked it was ever complete.

A daemon that has read the store itself up to a revision between two parts skips the first one as known, and applies the others.

Change: each part holds all removals and lapsed endpoints. A part that then takes more than a frame is handled as before: only the revision is sent.

Ruled out: removals in the last part alone. A daemon that misses that part would be at a revision that includes them.

--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -184,10 +184,11 @@
     """Return the deltas between a view and a later one, in order.
 
     ``lapsed_ids`` are endpoints whose registrations have lapsed in between.
-    Large changes are split into several deltas. Removals and the
-    configuration come first, so a daemon that misses a later delta still has
-    every change up to the revision it has reached. The list is empty if one
-    of them does not fit a frame.
+    Large changes are split into several deltas. The configuration comes first,
+    so a daemon that misses a later delta still has every change up to the
+    revision it has reached. Each delta holds all removals, since a daemon that
+    has read the store up to a revision in between skips the first ones. The
+    list is empty if one of them does not fit a frame.
     """
     changed_endpoints = sorted(
         (
@@ -221,7 +222,6 @@
                 change,
             )
         )
-        removed_ids, lapsed_ids = [], []
     for start in range(0, max(1, len(changed_endpoints)), ENDPOINTS_PER_FRAME):
         chunk = changed_endpoints[start : start + ENDPOINTS_PER_FRAME]
         is_last = start + ENDPOINTS_PER_FRAME >= len(changed_endpoints)
@@ -240,7 +240,7 @@
                 lapsed_ids,
             )
         )
-        base, removed_ids, lapsed_ids = revision, [], []
+        base = revision
     try:
         for delta in deltas:
             frames.encode(delta)
