Refuse lookups of an older version, and count refused frames by reason

A lookup without the sequence number of the opening can't tell apart the flows of a port, and the decoder filled in a default: the answer to an older daemon's lookup could name the endpoint of an earlier flow.

Change: all fields that tell flows apart are required. A frame that lacks them is refused; the counters and the log name the reason (bad_length, bad_kind, bad_header).

Ruled out: answering older lookups with "maybe".

Measured: of the eight cases of test_a_frame_is_refused_with_its_reason_if_it the older lookup and the older answer are accepted on the code before; with the change all are refused, and the open flow is served.

--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -6,7 +6,6 @@
 an endpoint follows unchanged.
 """
 
-import math
 import struct
 import typing
 
@@ -147,7 +146,7 @@
     lookup: int
     flow: tuple[int, int, int, int]
     acknowledged: int
-    opening_sequence: int = -1
+    opening_sequence: int
 
 
 @message(6)
@@ -162,8 +161,8 @@
     lookup: int
     host: str
     answer: str
-    revision: int = -1
-    uptime_s: float = math.inf
+    revision: int
+    uptime_s: float
 
     def view_revision(self) -> int:
         """Return the revision of the sender's view."""
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -26,6 +26,21 @@
     "frames",
     "Frames that were not sent, as they exceed the receivers' limit.",
 )
+# Counters by the reason of ``InvalidFrame``.
+FRAMES_INVALID_BY_REASON = {
+    reason: metrics.declare(
+        f"stream.frames_invalid.{reason}", "counter", "frames", meaning
+    )
+    for reason, meaning in (
+        ("bad_length", "Frames that are too short or too long."),
+        ("bad_kind", "Frames of an unknown kind, or cut off."),
+        (
+            "bad_header",
+            "Frames whose fields are missing or of another type, as in those "
+            "of an older version.",
+        ),
+    )
+}
 RECENT_PEER_S = 5.0
 
 _log = logs.get("peer_port")
@@ -105,8 +120,16 @@
         sender_host = sender[0]
         try:
             message, packet = frames.decode(data)
-        except errors.InvalidFrame:
+        except errors.InvalidFrame as error:
             self._metrics.count(FRAMES_INVALID)
+            self._metrics.count(FRAMES_INVALID_BY_REASON[error.reason])
+            _log.warn_throttled(
+                f"invalid {error.reason}",
+                "frame refused",
+                reason=error.reason,
+                host=sender_host,
+                error=str(error)[:200],
+            )
             return
         self._metrics.count(FRAMES_RECEIVED)
         revision = message.view_revision()
--- a/tests/failures/test_stream_robustness.py
+++ b/tests/failures/test_stream_robustness.py
@@ -1,9 +1,11 @@
 """Tests that one bad message or a planned stop harms no other flow."""
 
+import struct
 import unittest
 from unittest import mock
 
 import anyio
+import cbor2
 import parameterized
 
 from bramleypin import errors
@@ -11,10 +13,12 @@
 from bramleypin.internal.stream import balancer
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import exchange
+from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import leaving
 from bramleypin.internal.stream import loads
 from bramleypin.internal.stream import openings
 from bramleypin.internal.stream import owners
+from bramleypin.internal.stream import peer_port
 from bramleypin.internal.stream import relay
 from bramleypin.internal.stream import reports
 from bramleypin.internal.stream import trials
@@ -115,6 +119,58 @@
         )
 
 
+def frame(kind: int, *fields: object) -> bytes:
+    """Return a frame with any fields."""
+    header = cbor2.dumps(fields)
+    return struct.pack(">BH", kind, len(header)) + header
+
+
+class FramesTest(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            ("is of an unknown kind", b"\xff\x00\x00", "bad_kind"),
+            ("is cut off", frame(5, 1, [1, 2, 3, 4])[:-2], "bad_kind"),
+            ("is too long", bytes(frames.MAX_FRAME_BYTES + 1), "bad_length"),
+            ("is empty", b"", "bad_length"),
+            ("has a field of another type", frame(3, "x"), "bad_header"),
+            ("is an older lookup", frame(5, 1, [1, 2, 3, 4], 5), "bad_header"),
+            ("is an older answer", frame(6, 1, "h", "holds"), "bad_header"),
+            (
+                "is an older delta",
+                frame(10, 1, 2, 3, [], [], [], None),
+                "bad_header",
+            ),
+        ]
+    )
+    def test_a_frame_is_refused_with_its_reason_if_it(self, _, data, reason):
+        """Guards against frames that are taken for something else.
+
+        Those of an older version of the program lack what tells apart the
+        flows of a port.
+        """
+
+        async def scenario(fleet):
+            (kept_flow,) = await test_kept_flows.start_kept_flows(
+                fleet, count=1, endpoints=1, balancers=1
+            )
+            counts = []
+            for daemon in (
+                fleet.agent_by_name["e0"],
+                fleet.balancer_by_name["b0"],
+            ):
+                port = daemon.kernel.get("peer_port")
+                port._on_datagram(data, ("10.0.9.9", 1))
+                counter = peer_port.FRAMES_INVALID_BY_REASON[reason]
+                counts.append(
+                    daemon.kernel.get("metrics").count_by_name.get(counter)
+                )
+            return counts, (await kept_flow.request()).kind
+
+        self.assertEqual(
+            ([1, 1], "answered"), test_stream_flows.run_scenario(scenario)
+        )
+
+
 class StoreErrorsTest(unittest.TestCase):
     @parameterized.parameterized.expand([("read",), ("watch",)])
     def test_no_process_ends_when_the_store_client_fails(self, name):
--- a/tests/fuzz/test_stream_frames.py
+++ b/tests/fuzz/test_stream_frames.py
@@ -18,8 +18,8 @@
     frames.OfferAnswer(1, "taken", "", REPORT),
     frames.Data(True),
     frames.FlowNotHeld("10.0.1.1"),
-    frames.Lookup(1, (1, 2, 3, 4), 5),
-    frames.LookupAnswer(1, "10.0.1.1", "holds"),
+    frames.Lookup(1, (1, 2, 3, 4), 5, -1),
+    frames.LookupAnswer(1, "10.0.1.1", "holds", 3, 0.5),
     frames.LoadReport(REPORT),
 )
 
