List the store when the changes of a watch are too long to be read

Cause: an answer of more than 4 MB was refused, and the reader asked for the same changes again. An entry may have 1 MiB, which base64 makes 1.4 MB, and nothing bounds how many of them change between two watches. The reader recovered only when the store dropped them from its history.

Change: a watch whose answer is too long counts as a lost history, so the store is listed, in pages. Up to 8 MB are read in one answer.

Ruled out: the decoder. The answer is given up before it is decoded. A larger limit alone: any limit can be exceeded by one more entry.

--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -142,6 +142,10 @@
     """Raised when the platform has answered with data that cannot be used."""
 
 
+class PlatformAnswerTooLong(PlatformAnswerUnusable):
+    """Raised when an answer of the platform has more bytes than are read."""
+
+
 class PlatformHistoryLost(BramleypinError):
     """Raised when the metadata store has discarded the requested changes."""
 
--- a/src/bramleypin/internal/net/http_client.py
+++ b/src/bramleypin/internal/net/http_client.py
@@ -44,6 +44,7 @@
         and the whole of it within ``timeout_s + MAX_RESPONSE_S``.
 
         :raises errors.PlatformUnavailable: if there is no valid response.
+        :raises errors.PlatformAnswerTooLong: if its body exceeds the limit.
         """
         path = target.partition("?")[0]
         try:
@@ -55,6 +56,9 @@
             raise errors.PlatformUnavailable(
                 f"{path}: no answer within {timeout_s:g} s"
             ) from error
+        except http_response.ResponseTooLong as error:
+            await self.aclose()
+            raise errors.PlatformAnswerTooLong(f"{path}: {error}") from error
         except http_response.FAILURES as error:
             await self.aclose()
             raise errors.PlatformUnavailable(
--- a/src/bramleypin/internal/net/http_response.py
+++ b/src/bramleypin/internal/net/http_response.py
@@ -18,6 +18,10 @@
 )
 
 
+class ResponseTooLong(h11.RemoteProtocolError):
+    """Raised when the body of a response exceeds its limit."""
+
+
 async def read(
     connection: h11.Connection,
     stream: anyio.abc.ByteStream,
@@ -28,8 +32,9 @@
 
     ``on_data`` is called whenever a part of the response arrives.
 
-    :raises h11.RemoteProtocolError: when the response is malformed, ends
-        early or has a body of more than ``limit_bytes``.
+    :raises h11.RemoteProtocolError: when the response is malformed or ends
+        early.
+    :raises ResponseTooLong: when its body has more than ``limit_bytes``.
     """
     status = 0
     headers: dict[bytes, bytes] = {}
@@ -49,9 +54,7 @@
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > limit_bytes:
-                raise h11.RemoteProtocolError(
-                    "the body exceeds the size limit"
-                )
+                raise ResponseTooLong(f"the body exceeds {limit_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
             return status, headers, bytes(body)
         else:
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -13,8 +13,9 @@
 
 RANGE_PATH = "/bramleypin/kv-range"
 WATCH_PATH = "/bramleypin/kv-watch"
-# A page holds about 1 MB of data; base64 adds a third.
-MAX_BODY_BYTES = 4 * 1024 * 1024
+# A page holds about 1 MB of data, to which base64 adds a third. The changes
+# that a watch returns have no limit of their own.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 # Maximum number of pages in a listing, in case the store never reports a last
 # page. A page may hold as few as 50 items, and the target size is 7,400 hosts.
 MAX_PAGES = 1_024
@@ -122,7 +123,7 @@
 
         :raises errors.PlatformUnavailable: if the store does not answer.
         :raises errors.PlatformHistoryLost: if the store has discarded the
-            changes after that revision.
+            changes after that revision, or they are too long for an answer.
         """
         return await self._watch(self._watch_connection, after, wait_s)
 
@@ -133,7 +134,11 @@
         wait_ms = str(int(wait_s * 1000))
         query = {"prefix": "", "after": str(after), "wait_ms": wait_ms}
         timeout_s = wait_s + http_client.READ_TIMEOUT_S
-        page = await connection.get_page(WATCH_PATH, query, timeout_s)
+        try:
+            page = await connection.get_page(WATCH_PATH, query, timeout_s)
+        except errors.PlatformAnswerTooLong as error:
+            # The next answer would hold the same changes. A listing has pages.
+            raise errors.PlatformHistoryLost(str(error)) from error
         now_s = anyio.current_time()
         events = decoding.decode_items(page.events)
         return decoding.decode(events, page.as_of, now_s, False)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -345,6 +345,21 @@
             self.assertIsInstance(result, errors.PlatformUnavailable)
         self.assertEqual(6, results[6].revision)
 
+    def test_changes_that_are_too_long_for_an_answer_are_listed_instead(self):
+        """Guards against a watch that gets the same long answer for ever.
+
+        Another writer may change several entries of 1 MB at once.
+        """
+        events = [{"key": "servers/e", "value": "A" * store.MAX_BODY_BYTES}]
+        too_long, valid = self.run_watches(
+            [
+                self.response(200, {"as_of": 5, "events": events}),
+                self.response(200, {"as_of": 6}),
+            ]
+        )
+        self.assertIsInstance(too_long, errors.PlatformHistoryLost)
+        self.assertEqual(6, valid.revision)
+
     def test_an_item_that_cannot_be_read_keeps_no_other_out(self):
         """Guards against a page that is refused for one of its items."""
         good = b'{"key":"servers/e","tombstone":1}'
