Kill balancers and agents in series in half of the soak runs

The soak gave a port back to use only with daemons that were left alone, and excused every reset near a kill, so it could not see a reset by the endpoint of an earlier flow.

Change: in half of the seeds, balancers and agents are killed in two series that overlap, while callers keep flows open with pauses and use most ports again after a second. A new check needs no calm: a reset of an open flow has to come from the endpoint that accepted it, whatever was killed. The simulated endpoint returns packets that acknowledge another endpoint's stream, as the platform's do.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -21,6 +21,18 @@
 STARTUP_S = 2.5
 RECOVERY_PERIOD_S = 6.0
 REQUESTS_PER_S = 40.0
+# In half of the runs, balancers and agents are killed in series that overlap,
+# while callers keep flows open and soon use their ports again.
+KILL_INTERVAL_S = (0.4, 1.6)
+# A balancer stays away until it is out of rotation, so that flows change
+# balancers and return.
+BALANCER_DOWN_S = (0.8, 2.0)
+AGENT_DOWN_S = (0.0, 0.5)
+KEPT_FLOW_REQUESTS = 6
+KEPT_FLOW_PAUSE_S = (0.5, 1.2)
+KEPT_FLOW_FRACTION = 0.4
+KEPT_FLOW_REUSED_PORTS_FRACTION = 0.9
+KEPT_FLOW_REUSE_DELAY_S = 1.0
 SERVICE_HOST = segment.ipv4_to_int("198.18.0.1")
 ADDRESS_BY_SERVICE = {
     "desk": (SERVICE_HOST, 443),
@@ -77,6 +89,8 @@
         self.faults = schedule(self.rng)
         # Random numbers of their own keep the schedules of earlier seeds.
         self._foreign_rng = random.Random(seed)
+        self._kill_rng = random.Random(seed)
+        self._kills_in_series = seed % 4 >= 2
         self.store = store_module.Store()
         self.executions: list[ends.Execution] = []
         self.violations: list[str] = []
@@ -109,11 +123,17 @@
                         self.executions,
                     )
                 )
+        reuse = (
+            (KEPT_FLOW_REUSED_PORTS_FRACTION, KEPT_FLOW_REUSE_DELAY_S)
+            if self._kills_in_series
+            else ()
+        )
         self.caller = ends.Caller(
             f"{net}.90",
             machines.INGRESS_PORT,
             self.in_rotation,
             random.Random(seed),
+            *reuse,
         )
 
     def in_rotation(self) -> list[str]:
@@ -210,6 +230,14 @@
             load.start_soon(self._write_foreign_entries)
             async with anyio.create_task_group() as injections:
                 injections.start_soon(self._generate_load, load, started_s)
+                if self._kills_in_series:
+                    for group, down_s in (
+                        (self.machines[:BALANCERS], BALANCER_DOWN_S),
+                        (self.machines[BALANCERS:], AGENT_DOWN_S),
+                    ):
+                        injections.start_soon(
+                            self._kill_in_turn, group, down_s
+                        )
                 for fault in self.faults:
                     injections.start_soon(self._inject, fault, started_s)
         self._check(started_s)
@@ -221,6 +249,12 @@
             address = self.rng.choices(addresses, (10, 4, 1))[0]
             requests = self.rng.choice((1, 1, 1, 4))
             pause_s = self.rng.uniform(0.05, 0.8)
+            if (
+                self._kills_in_series
+                and self._kill_rng.random() < KEPT_FLOW_FRACTION
+            ):
+                requests = KEPT_FLOW_REQUESTS
+                pause_s = self._kill_rng.uniform(*KEPT_FLOW_PAUSE_S)
             load.start_soon(self.caller.flow, address, requests, pause_s)
             await anyio.sleep(self.rng.expovariate(REQUESTS_PER_S))
 
@@ -253,6 +287,25 @@
             else:
                 self.store.put_bytes(key, value)
 
+    async def _kill_in_turn(
+        self, group: list[machines.Machine], down_s: tuple[float, float]
+    ) -> None:
+        """Kill machines of a group one after the other, and start them."""
+        end_s = anyio.current_time() + FAULT_PERIOD_S
+        while anyio.current_time() < end_s:
+            await anyio.sleep(self._kill_rng.uniform(*KILL_INTERVAL_S))
+            machine = self._kill_rng.choice(group)
+            start_s = anyio.current_time()
+            if machine.running:
+                machine.process.kill()
+            await machine.terminate()
+            await anyio.sleep(self._kill_rng.uniform(*down_s))
+            if not machine.running:
+                machine.start()
+            span = (start_s, anyio.current_time())
+            self.fault_spans.append(span)
+            self.flow_breaking_spans.append(span)
+
     async def _inject(self, fault: Fault, started_s: float) -> None:
         delay_s = started_s + fault.at_s - anyio.current_time()
         await anyio.sleep(max(0.0, delay_s))
@@ -323,6 +376,7 @@
     def _check(self, started_s: float) -> None:
         """Check the guarantees against what callers and endpoints recorded."""
         self._check_requests()
+        self._check_resets()
         self._check_openings()
         self._check_recovery(started_s + FAULT_PERIOD_S)
         for machine in self.machines:
@@ -380,6 +434,32 @@
                     "without a fault"
                 )
 
+    def _check_resets(self) -> None:
+        """Check who has reset open flows; a fault of a daemon excuses none.
+
+        No endpoint ends in a run, so each open flow is held by its own.
+        """
+        for outcome in self.caller.outcomes:
+            reset = outcome.reset
+            if reset is None or outcome.address == DROPPED_ADDRESS:
+                continue
+            owners = [
+                endpoint
+                for endpoint in self.endpoints
+                if (outcome.flow, outcome.endpoint_sequence)
+                in endpoint.accepted
+            ]
+            if outcome.is_reset_by_system or not any(
+                (outcome.flow, reset.sequence) in endpoint.resets
+                for endpoint in owners
+            ):
+                sender = "system" if outcome.is_reset_by_system else "endpoint"
+                names = ",".join(endpoint.name for endpoint in owners)
+                self._add_violation(
+                    f"{outcome.request} was reset by the {sender} at "
+                    f"{outcome.ended_s:.3f} in a flow that is open at {names}"
+                )
+
     def _check_openings(self) -> None:
         for endpoint in self.endpoints:
             drained_s = self.acknowledged_s_by_change.get(endpoint.name)
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -78,10 +78,28 @@
     at_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class FlowState:
+    """A flow at its endpoint.
+
+    ``initial_sequence`` is that of the endpoint, ``end`` the position after
+    what it has sent. ``request_end`` is the position after the last request,
+    or -1 before the first one. ``answer`` holds the position of the last
+    request and the arguments of ``_send`` for its answer.
+    """
+
+    initial_sequence: int
+    end: int
+    request_end: int = -1
+    answer: tuple | None = None
+
+
 class Endpoint:
     """An endpoint of a service; it answers several requests per flow.
 
-    ``openings`` holds the time and service address of each accepted flow.
+    ``openings`` holds the time and service address of each accepted flow,
+    ``accepted`` the flows with the endpoint's initial sequence number, and
+    ``resets`` the flows that it has reset, with the positions of the resets.
     """
 
     def __init__(
@@ -100,8 +118,10 @@
         self.work_s = work_s
         self.executions: list[Execution] = executions
         self.openings: list[tuple[float, tuple[int, int]]] = []
+        self.accepted: set[tuple[segment.Flow, int]] = set()
+        self.resets: set[tuple[segment.Flow, int]] = set()
         self.alive = True
-        self.flows: dict[segment.Flow, list] = {}
+        self.flows: dict[segment.Flow, FlowState] = {}
         self._opening_sequence_by_flow: dict[segment.Flow, int] = {}
         self._ended_flows: set[segment.Flow] = set()
 
@@ -127,18 +147,19 @@
                 self._ended_flows.discard(flow)
                 state = None
             if state is None:
-                # State of the flow: the endpoint's initial sequence number,
-                # the sequence number after the last request, and, once that
-                # request is answered, its sequence number and the arguments of
-                # ``_send``.
-                state = [random.getrandbits(32), None]
+                start = random.getrandbits(32)
+                state = FlowState(start, (start + 1) & SEQUENCE_MASK)
                 self.flows[flow] = state
+                self.accepted.add((flow, start))
                 now_s = anyio.current_time()
                 self.openings.append((now_s, packet.destination))
             flags = packet_module.SYN | packet_module.ACK
-            self._send(flow, flags, state[0], packet.sequence + 1)
+            self._send(
+                flow, flags, state.initial_sequence, packet.sequence + 1
+            )
             return
-        if state is None or not packet.ack:
+        is_ended = flow in self._ended_flows
+        if not is_ended and not self._holds(state, packet):
             raw = bytearray(packet.raw)
             raw[packet_module.FLAGS_OFFSET] |= packet_module.BOUNCED
             self._socket.send(bytes(raw), self.outbound_address)
@@ -146,7 +167,7 @@
         if packet.fin or packet.rst:
             if packet.fin:
                 flags = packet_module.ACK
-                if flow not in self._ended_flows:
+                if not is_ended:
                     flags |= packet_module.FIN
                 self._ended_flows.add(flow)
                 sequence = packet.acknowledged
@@ -154,23 +175,35 @@
             return
         if not packet.data_bytes:
             return
-        if flow in self._ended_flows:
+        if is_ended:
+            self.resets.add((flow, packet.acknowledged))
             self._send(flow, packet_module.RST, packet.acknowledged)
             return
         end = (packet.sequence + packet.data_bytes) & SEQUENCE_MASK
         # A daemon that was paused may deliver a copy of an old request much
         # later. Like a real endpoint, this one runs each request only once.
         if (
-            state[1] is None
-            or 0 < (end - state[1]) & SEQUENCE_MASK <= SEQUENCE_MASK // 2
+            state.request_end < 0
+            or segment.bytes_ahead(end, state.request_end) > 0
         ):
-            state[1] = end
+            state.request_end = end
             tasks.start_soon(self._execute, flow, packet, state)
-        elif len(state) > 2 and state[2][0] == packet.sequence:
+        elif state.answer and state.answer[0] == packet.sequence:
             # The caller resent the request: its answer was lost or late.
-            self._send(flow, *state[2][1:])
+            self._send(flow, *state.answer[1:])
 
-    async def _execute(self, flow, packet: segment.Segment, state) -> None:
+    @staticmethod
+    def _holds(state: FlowState | None, packet: segment.Segment) -> bool:
+        """Return whether a packet acknowledges what this endpoint has sent."""
+        if state is None or not packet.ack:
+            return False
+        first = state.initial_sequence + 1
+        acknowledged = (packet.acknowledged - first) & SEQUENCE_MASK
+        return acknowledged <= (state.end - first) & SEQUENCE_MASK
+
+    async def _execute(
+        self, flow, packet: segment.Segment, state: FlowState
+    ) -> None:
         request = packet.raw[packet_module.HEADER_BYTES :].decode()
         now_s = anyio.current_time()
         self.executions.append(
@@ -187,7 +220,8 @@
             packet.sequence + packet.data_bytes,
             body,
         )
-        state[2:] = [(packet.sequence, *answer)]
+        state.answer = (packet.sequence, *answer)
+        state.end = (answer_sequence + len(body)) & SEQUENCE_MASK
         self._send(flow, *answer)
 
     def _send(self, flow, flags, sequence, acknowledged=0, data=b""):
@@ -208,23 +242,43 @@
 
     ``kind`` is ``answered``, ``reset`` or ``silence``. A reset
     refuses the opening of the flow, or ends the open flow if ``opened`` is
-    set. ``body`` is the answer.
+    set. ``body`` is the answer. ``reset`` is the packet that ended the flow,
+    ``endpoint_sequence`` the initial sequence number of its endpoint.
     """
 
     request: str
     address: tuple[int, int]
     sent_s: float
+    flow: segment.Flow
     ended_s: float = 0.0
     kind: str = "silence"
     opened: bool = False
     body: str = ""
+    reset: segment.Segment | None = None
+    endpoint_sequence: int = -1
+
+    @property
+    def is_reset_by_system(self) -> bool:
+        """Whether the load balancer, and no endpoint, has reset the flow."""
+        reset = self.reset
+        return reset is not None and reset.raw.startswith(SYSTEM_CHECKSUM)
 
 
 class Caller:
     """Opens flows through the ready balancers and records outcomes."""
 
-    def __init__(self, host: str, port: int, balancers, rng: random.Random):
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        balancers,
+        rng: random.Random,
+        reused_ports_fraction: float = REUSED_PORTS_FRACTION,
+        reuse_delay_s: float = REUSE_DELAY_S,
+    ):
         self._host = host
+        self._reused_ports_fraction = reused_ports_fraction
+        self._reuse_delay_s = reuse_delay_s
         self._port = port
         self._balancers = balancers
         self._rng = rng
@@ -265,8 +319,8 @@
 
     def _choose_port(self) -> int:
         """Return a new port, or one that has been unused for some time."""
-        oldest_s = anyio.current_time() - REUSE_DELAY_S
-        reuses_port = self._rng.random() < REUSED_PORTS_FRACTION
+        oldest_s = anyio.current_time() - self._reuse_delay_s
+        reuses_port = self._rng.random() < self._reused_ports_fraction
         if reuses_port and self._used_ports:
             ended_s, port = self._used_ports[0]
             if ended_s < oldest_s:
@@ -281,7 +335,8 @@
     async def _run_flow(
         self, source, address, requests, pause_s, inbox
     ) -> None:
-        outcome = self._start_request(address)
+        flow = segment.Flow(*source, *address)
+        outcome = self._start_request(flow)
         opening_sequence = self._opening_sequence_by_port.get(source[1], 0)
         packet = None
         for count, at_s in enumerate(OPENING_SEND_TIMES_S):
@@ -299,17 +354,20 @@
             )
             return
         outcome.opened = True
+        outcome.endpoint_sequence = packet.sequence
         sequence, acknowledged = opening_sequence + 1, packet.sequence + 1
         for number in range(requests):
             if number:
                 await anyio.sleep(pause_s)
-                outcome = self._start_request(address)
+                outcome = self._start_request(flow)
                 outcome.opened = True
+                outcome.endpoint_sequence = packet.sequence
             data = outcome.request.encode()
             answer = await self._send_request(
                 source, address, sequence, acknowledged, data, inbox
             )
             if answer is None or answer.rst:
+                outcome.reset = answer
                 self._finish_request(
                     outcome, "reset" if answer is not None else "silence"
                 )
@@ -347,10 +405,10 @@
             return await inbox.receive()
         return None
 
-    def _start_request(self, address) -> Outcome:
+    def _start_request(self, flow: segment.Flow) -> Outcome:
         self._number += 1
         request = f"{self._host}-{self._number}"
-        outcome = Outcome(request, address, anyio.current_time())
+        outcome = Outcome(request, flow[2:], anyio.current_time(), flow)
         self.outcomes.append(outcome)
         return outcome
 
