--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -21,6 +21,13 @@
     # simulated endpoint executed them again.
     88,
 )
+# As above, with balancers and agents that are killed in series. They are in a
+# class of their own so that they run beside the others.
+SEEDS_WITH_KILLS = (
+    # A balancer sent packets of an open flow to the endpoint of an earlier
+    # flow of the port, and its agent, just restarted, passed the reset on.
+    10,
+)
 
 
 class SoakTest(unittest.TestCase):
@@ -33,3 +40,12 @@
         violations, summary = soak.run(seed)
         self.assertEqual([], violations, summary)
         self.assertIn("answered", summary)
+
+
+class SoakWithKillsTest(unittest.TestCase):
+    @parameterized.parameterized.expand([(seed,) for seed in SEEDS_WITH_KILLS])
+    def test_real_daemons_reset_no_open_flow(self, seed):
+        """Guards against resets that no owner of a flow has sent."""
+        violations, summary = soak.run(seed)
+        self.assertEqual([], violations, summary)
+        self.assertIn("answered", summary)
