--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -1,6 +1,7 @@
 """Simulated callers and endpoints that use the platform's packets."""
 
 import collections
+import contextlib
 import dataclasses
 import random
 import struct
@@ -60,6 +61,16 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def _closing(port):
+    """Close a port at the end, since a later run may use its address."""
+    try:
+        yield
+    finally:
+        with anyio.CancelScope(shield=True):
+            await port.aclose()
+
+
 def _is_out_of_window(reset: segment.Segment, acknowledged: int) -> bool:
     """Return whether a caller ignores a reset on its open flow."""
     if not reset.raw.startswith(SYSTEM_CHECKSUM):
@@ -130,7 +141,7 @@
         self._socket = await datagram.open_port(
             address_module.Address(*self.app_address)
         )
-        async with anyio.create_task_group() as tasks:
+        async with _closing(self._socket), anyio.create_task_group() as tasks:
             while True:
                 data, _ = await self._socket.receive()
                 packet = CODEC.decode(data)
@@ -296,12 +307,13 @@
         """Receive until cancelled."""
         local_address = address_module.Address(self._host, self._port)
         self._socket = await datagram.open_port(local_address)
-        while True:
-            data, _ = await self._socket.receive()
-            packet = CODEC.decode(data)
-            stream = packet and self._streams.get(packet.destination[1])
-            if stream is not None:
-                stream.send_nowait(packet)
+        async with _closing(self._socket):
+            while True:
+                data, _ = await self._socket.receive()
+                packet = CODEC.decode(data)
+                stream = packet and self._streams.get(packet.destination[1])
+                if stream is not None:
+                    stream.send_nowait(packet)
 
     async def flow(
         self, address: tuple[int, int], requests: int, pause_s: float
