Call the function of the stand-in by its name in the control bench

`make bench` ended in the control bench with an AttributeError, and the benches after it did not run.

Cause: renamed split() of the platform stand-in to group_by_shard() and missed this call. No test runs this bench, and the linter does not look into modules.

Change: the call, and a test that resolves what each module takes from other modules of the project.

Measured: the test names platform_module.split on the code before, and nothing else.

--- a/src/bramleypin/bench/control_harness.py
+++ b/src/bramleypin/bench/control_harness.py
@@ -267,7 +267,7 @@
 
     def view_bytes(self) -> int:
         """Return the bytes of manifest and shards that a new process reads."""
-        shards = platform_module.split(self._encoded_by_name).values()
+        shards = platform_module.group_by_shard(self._encoded_by_name).values()
         manifest = configuration.encode(self.publisher.manifest)
         encoded_shards = (
             configuration.encode_shard(shard) for shard in shards
--- a/tests/cover/test_layers.py
+++ b/tests/cover/test_layers.py
@@ -1,6 +1,7 @@
 """Tests of the dependencies between the adapter and other modules."""
 
 import ast
+import importlib
 import importlib.metadata
 import pathlib
 import subprocess
@@ -36,7 +37,46 @@
             yield path
 
 
+def missing_names(path: pathlib.Path) -> list[str]:
+    """Return what a file takes from project modules that do not have it."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    module_by_name = {}
+    for node in ast.walk(tree):
+        if isinstance(node, ast.ImportFrom) and node.module.startswith(
+            "bramleypin"
+        ):
+            for alias in node.names:
+                name = f"{node.module}.{alias.name}"
+                module = importlib.import_module(name)
+                module_by_name[alias.asname or alias.name] = module
+    # A variable may have the name of an imported module.
+    variables = {
+        node.id
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Name) and not isinstance(node.ctx, ast.Load)
+    } | {node.arg for node in ast.walk(tree) if isinstance(node, ast.arg)}
+    return [
+        f"{node.value.id}.{node.attr}"
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Attribute)
+        and isinstance(node.value, ast.Name)
+        and node.value.id in module_by_name.keys() - variables
+        and not hasattr(module_by_name[node.value.id], node.attr)
+    ]
+
+
 class LayersTest(unittest.TestCase):
+    def test_every_name_that_a_module_takes_from_another_one_exists(self):
+        """Guards against a renamed function that a bench still calls."""
+        self.assertEqual(
+            {},
+            {
+                str(path.relative_to(SOURCE)): names
+                for path in sorted(SOURCE.rglob("*.py"))
+                if (names := missing_names(path))
+            },
+        )
+
     @parameterized.parameterized.expand([(name,) for name in PLATFORM_NAMES])
     def test_only_the_adapter_uses_the_platform_name(self, name):
         """Guards against decisions that depend on the platform's names."""
