--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -296,12 +296,9 @@
             await anyio.sleep(self._kill_rng.uniform(*KILL_INTERVAL_S))
             machine = self._kill_rng.choice(group)
             start_s = anyio.current_time()
-            if machine.running:
-                machine.process.kill()
-            await machine.terminate()
-            await anyio.sleep(self._kill_rng.uniform(*down_s))
-            if not machine.running:
-                machine.start()
+            await self._restart(
+                machine, self._kill_rng.uniform(*down_s), kill=True
+            )
             span = (start_s, anyio.current_time())
             self.fault_spans.append(span)
             self.flow_breaking_spans.append(span)
@@ -329,6 +326,18 @@
         ):
             self.flow_breaking_spans.append(span)
 
+    @staticmethod
+    async def _restart(
+        machine: machines.Machine, down_s: float, kill: bool
+    ) -> None:
+        """Kill or stop a machine's process, and start it ``down_s`` later."""
+        if kill and machine.running:
+            machine.process.kill()
+        await machine.terminate()
+        await anyio.sleep(down_s)
+        if not machine.running:
+            machine.start()
+
     @staticmethod
     async def _apply(fault: Fault, machine: machines.Machine) -> None:
         kind, _, mode = fault.kind.partition(" ")
@@ -343,12 +352,9 @@
         elif kind == "hangup":
             machine.signal(signal.SIGHUP)
         elif kind in ("kill", "stop"):
-            if kind == "kill" and machine.running:
-                machine.process.kill()
-            await machine.terminate()
-            await anyio.sleep(fault.duration_s / 4)
-            if not machine.running:
-                machine.start()
+            await Deployment._restart(
+                machine, fault.duration_s / 4, kill=kind == "kill"
+            )
 
     def summary(self) -> str:
         """Return the number of requests by outcome, as text."""
