Tell callers sooner of flows lost with the power of all machines

Cause: after a loss of power each lost flow was searched for at all agents and its packet tried at all endpoints, about 100 kB a flow at 57 endpoints, which filled links of 5 Mbit/s for seconds; a search that starting agents did not answer waited for the caller's next transmission, up to 1.6 s away. Change: an agent whose endpoint registered a start later than its own rules unknown flows out; where all candidates of a flow have just restarted and rule it out, a route's requests that may be repeated are reset without asking the other agents; searches that lack answers are repeated after 0.2 and 0.4 s. Ruled out: boot times (they do not tell of an earlier agent process).

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -245,7 +245,7 @@
             packet.flow_from_caller(), packet.acknowledged
         ):
             return False
-        if self.flows.started_recently():
+        if self.flows.may_hold_older_flows():
             return True
         services = self._views.services_for_address(packet.destination)
         return message.confirmed and self.settings.service in services
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -205,7 +205,9 @@
     the SYN+ACK. ``running_requests`` is the number of requests at the
     endpoint, ``open_flow_count`` the number of flows that have not ended.
     ``service_time_s`` is 0 until the first request has been answered.
-    ``on_request_end()`` is called when a request ends.
+    ``on_request_end()`` is called when a request ends. ``endpoint_is_newer()``
+    returns whether the endpoint started after this process, so that this
+    process has seen all of its flows.
     """
 
     def __init__(self, settings: stream_settings.StreamSettings):
@@ -215,6 +217,7 @@
         self.open_flow_count = 0
         self.service_time_s = 0.0
         self.on_request_end: typing.Callable[[], None] = lambda: None
+        self.endpoint_is_newer: typing.Callable[[], bool] = lambda: False
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
         self._started_s = anyio.current_time()
@@ -263,9 +266,10 @@
             return True
         return position >= 0 and segment.are_near(position, acknowledged)
 
-    def started_recently(self) -> bool:
+    def may_hold_older_flows(self) -> bool:
         """Return whether flows older than this process may still be open."""
-        return self.uptime_s() < self._lifetime_s
+        is_recent = self.uptime_s() < self._lifetime_s
+        return is_recent and not self.endpoint_is_newer()
 
     def uptime_s(self) -> float:
         """Return the time since this process started, in seconds."""
@@ -288,7 +292,7 @@
                 return "maybe"
         if self.is_not_held(key, acknowledged):
             return "no"
-        return "maybe" if self.started_recently() else "no"
+        return "maybe" if self.may_hold_older_flows() else "no"
 
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
@@ -344,7 +348,7 @@
             if expired:
                 self.forget(entry)
                 is_quiet = now_s - entry.seen_s > LINGER_S / 2
-                if was_ended and is_quiet and self.started_recently():
+                if was_ended and is_quiet and self.may_hold_older_flows():
                     # Flows that this process does not know may be open.
                     self.record_not_held(entry)
             elif (
--- a/src/bramleypin/internal/stream/lost_flows.py
+++ b/src/bramleypin/internal/stream/lost_flows.py
@@ -23,16 +23,24 @@
 NEWER_VIEW_DELAY_S = 0.2
 # Callers transmit a packet again within 1.6 s, which starts a search as well.
 MAX_WAIT_S = 3.0
+# Delays of new searches after one that some agents did not answer. Agents
+# that start take about 0.5 s, while the caller's next transmission may be
+# 1.6 s away.
+UNANSWERED_DELAYS_S = (0.2, 0.4)
 MAX_FLOWS = 5_000
 
 
 @dataclasses.dataclass(slots=True)
 class LostFlow:
-    """A flow that was not found; ``packet`` is its caller's latest one."""
+    """A flow that was not found; ``packet`` is its caller's latest one.
+
+    ``unanswered_searches`` counts the searches that lacked answers.
+    """
 
     packet: segment.Segment
     search_s: float
     expires_s: float
+    unanswered_searches: int = 0
 
 
 @kernel_module.service(
@@ -65,10 +73,17 @@
         ``packet`` is its caller's latest packet.
         """
         lost = self._lost_by_flow.pop(search.flow, None)
-        if packet.rst or not search.settled:
+        if packet.rst:
             return
         now_s = anyio.current_time()
-        delay_s = self._delay_s(search, packet)
+        unanswered_searches = lost.unanswered_searches if lost else 0
+        if search.settled or search.finds_restart:
+            delay_s = self._delay_s(search, packet)
+        elif search.all_answered:
+            return
+        else:
+            delay_s = UNANSWERED_DELAYS_S[min(unanswered_searches, 1)]
+            unanswered_searches += 1
         if delay_s <= 0:
             self.on_reset(packet)
             return
@@ -76,7 +91,7 @@
         expires_s = lost.expires_s if lost else now_s + MAX_WAIT_S
         if search_s < expires_s and len(self._searches) < MAX_FLOWS:
             self._lost_by_flow[search.flow] = LostFlow(
-                packet, search_s, expires_s
+                packet, search_s, expires_s, unanswered_searches
             )
             heapq.heappush(self._searches, (search_s, search.flow))
             self._ticker.wake()
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -90,9 +90,13 @@
 
     @property
     def finds_restart(self) -> bool:
-        """Whether the answers show that all agents have just restarted."""
+        """Whether the answers show that all agents have just restarted.
+
+        If all candidates of the flow have, and none of them may hold it, the
+        other agents need not be asked.
+        """
         return (
-            self.settled
+            (self.settled or (self.all_answered and not self.possible_hosts))
             and self.answer_count >= MIN_RESTARTED_AGENTS
             and self.longest_uptime_s < RESTART_WINDOW_S
         )
@@ -232,7 +236,8 @@
         # A copy of an opening needs no certainty: the caller keeps the flow
         # at the endpoint whose answer it acknowledges.
         is_open = bool(search.waiting_packets)
-        if is_open and not search.asked_all and self._widen(search):
+        is_complete = search.asked_all or self._is_lost_in_restart(search)
+        if is_open and not is_complete and self._widen(search):
             return
         self._remove(search)
         if search.possible_hosts and search.waiting_packets:
@@ -249,6 +254,18 @@
         )
         self.on_lost(search)
 
+    def _is_lost_in_restart(self, search: OwnerSearch) -> bool:
+        """Return whether a flow may be given up before asking all agents.
+
+        After a loss of power, thousands of flows are searched for at once, and
+        asking every agent for each of them fills a narrow link for seconds. A
+        request that may be repeated is worth less than that time.
+        """
+        configuration = self._view_manager.view.configuration
+        address = (search.flow.service_host, search.flow.service_port)
+        route = configuration.route_by_address.get(address)
+        return route is not None and route.idempotent and search.finds_restart
+
     def delay_search(self, flow: segment.Flow) -> None:
         """Start no search for a flow during ``RETRY_DELAY_S``."""
         if len(self._delayed_until_by_flow) >= MAX_DELAYED_FLOWS:
--- a/src/bramleypin/internal/stream/program.py
+++ b/src/bramleypin/internal/stream/program.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import signal
+import time
 import typing
 
 import anyio
@@ -25,7 +26,11 @@
 
 @dataclasses.dataclass
 class StreamEnvironment:
-    """External interfaces of a daemon: network, store, codec, randomness."""
+    """External interfaces of a daemon: network, store, codec, randomness.
+
+    ``unix_time`` returns the time of day in seconds. It may jump, so it is
+    only compared with times that other processes on the machine report.
+    """
 
     open_datagram_port: typing.Callable[
         [address.Address], typing.Awaitable[environment.DatagramPort]
@@ -37,6 +42,7 @@
     platform: view.ViewSource
     codec: segment.SegmentCodec
     random: random.Random
+    unix_time: typing.Callable[[], float] = time.time
 
 
 async def _open_listener(
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -19,6 +19,9 @@
 # Fraction of the queue that is reserved for requests of the highest priority.
 RESERVED_QUEUE_FRACTION = 0.4
 COLD_WINDOW_S = 1.0
+# After a loss of power, an endpoint may start this long before its agent. Its
+# machine had no agent before that could have given it a flow.
+AGENT_START_DELAY_S = 0.5
 # Bounds the list of acceptance times while the endpoint is not cold.
 MAX_ACCEPTED_TIMES = 1_024
 
@@ -73,11 +76,13 @@
         self._view_manager = kernel.get("view")
         self.settings = kernel.settings
         self.flows = endpoint_flows.EndpointFlows(kernel.settings)
+        self.flows.endpoint_is_newer = self._endpoint_is_newer
         self.leaving = False
         self.endpoint_silent = False
         # A new process does not know how many requests the endpoint received
         # within the last second, so the window is assumed to be full at first.
         self._started_s = anyio.current_time()
+        self._started_unix_s = kernel.environment.unix_time()
         self._accepted_s: collections.deque[float] = collections.deque()
 
     def endpoint(self) -> view_module.Endpoint | None:
@@ -87,6 +92,19 @@
         endpoint_by_host = view.endpoint_by_host(settings.service)
         return endpoint_by_host.get(settings.host)
 
+    def _endpoint_is_newer(self) -> bool:
+        """Return whether the registered endpoint started after this process.
+
+        Both times are Unix times of this machine. A step of its clock between
+        the two could make an endpoint that started up to that much earlier
+        look newer.
+        """
+        endpoint = self.endpoint()
+        if endpoint is None:
+            return False
+        oldest_s = self._started_unix_s - AGENT_START_DELAY_S
+        return endpoint.started_ms / 1000 >= oldest_s
+
     def slots(self) -> int:
         """Return the number of requests that the endpoint runs at once."""
         endpoint = self.endpoint()
--- a/src/bramleypin/standins/stream_fleet.py
+++ b/src/bramleypin/standins/stream_fleet.py
@@ -23,6 +23,8 @@
 READINESS_PORT = 7002
 ENDPOINT_PORT = 7003
 OUTBOUND_PORT = 7004
+# Time of day at second 0 of the simulation.
+UNIX_START_S = 1_700_000_000.0
 SERVICE_HOST = segment.ipv4_to_int("198.18.0.1")
 
 
@@ -107,6 +109,7 @@
                 ),
                 codec=stream_codec.TestCodec(),
                 random=process.random,
+                unix_time=lambda: UNIX_START_S + anyio.current_time(),
             ),
         )
         await self.kernel.run()
--- a/tests/cover/test_stream_admission.py
+++ b/tests/cover/test_stream_admission.py
@@ -34,6 +34,9 @@
     # No instance is needed: all attributes are class attributes.
     settings = _Settings
 
+    class environment:
+        unix_time = staticmethod(lambda: 0.0)
+
     def __init__(self, current_view):
         self._view_manager = _ViewManager(current_view)
 
