Move openings of a service without endpoints to the route's others

Cause: a route with weights reset the flows whose hash chose a service without an eligible endpoint; a bad priority, weight or time-out of a route was taken or dropped the route with its open flows. Change: such openings go to the route's other services by weight; values are checked, and a refused route keeps the form in force. Ruled out: new weights at each change of the view (copies of an opening would reach two services while views differ).

--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -11,6 +11,7 @@
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import postponed
+from bramleypin.internal.stream import route_choice
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
 from bramleypin.internal.stream import view as view_module
@@ -44,6 +45,13 @@
     "flows",
     "Openings reset, because no endpoint could take them.",
 )
+OPENINGS_MOVED = metrics.declare(
+    "stream.openings_moved",
+    "counter",
+    "flows",
+    "Openings that went to another service of their route, because the one "
+    "that its weights chose had no endpoint.",
+)
 OPENINGS_UNANSWERED = metrics.declare(
     "stream.openings_unanswered",
     "counter",
@@ -260,7 +268,24 @@
         if none_eligible and self._view_manager.registrations_settled(
             opening.service
         ):
-            self._refuse(opening, "no endpoint in service")
+            service = route_choice.alternative_service(
+                opening.route, opening.flow, self._candidates.any_eligible
+            )
+            if not service:
+                self._refuse(opening, "no endpoint in service")
+                return
+            self._metrics.count(OPENINGS_MOVED)
+            _log.warn_throttled(
+                f"moved {opening.service}",
+                "opening moved to another service of its route",
+                flow=str(opening.flow),
+                route=opening.route.name,
+                service=opening.service,
+                to=service,
+                revision=self._view_manager.view.revision,
+            )
+            opening.service = service
+            self._offer(opening)
             return
         opening.host = ""
         opening.is_late = is_late
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -13,6 +13,10 @@
 # and its numbers can be used in computations.
 MAX_NAME_CHARACTERS = 255
 MAX_SLOTS = 1_000_000
+# Bounds of a route's values. A value outside them is an error of its writer.
+MAX_PRIORITY = 1_000
+MAX_WEIGHT = 1e9
+MAX_ROUTE_TIME_S = 86_400.0
 MAX_STARTED_MS = 2**63 - 1
 
 
@@ -36,22 +40,7 @@
 
     def service_for(self, flow: segment.Flow) -> str:
         """Return the service that receives a new flow; "" if there is none."""
-        if len(self.weight_by_service) == 1:
-            return self.weight_by_service[0][0]
-        total = sum(weight for _, weight in self.weight_by_service)
-        if total <= 0:
-            return ""
-        # All balancers must choose the same service for copies of an opening,
-        # so the choice depends only on the caller's address.
-        caller_hash = (
-            flow.caller_host * 0x9E3779B1 + flow.caller_port
-        ) * 0x85EBCA6B
-        point = (caller_hash >> 8) % 10_000 / 10_000 * total
-        for service, weight in self.weight_by_service:
-            point -= weight
-            if point < 0:
-                return service
-        return self.weight_by_service[-1][0]
+        return service_by_weight(self.weight_by_service, flow)
 
     def allows(self, service: str) -> bool:
         """Return whether the route may send new flows to a service."""
@@ -61,6 +50,30 @@
         )
 
 
+def service_by_weight(
+    weight_by_service: tuple[tuple[str, float], ...], flow: segment.Flow
+) -> str:
+    """Return the service that receives a new flow; "" if there is none.
+
+    All balancers must choose the same service for copies of an opening, so
+    the choice depends only on the caller's address and port.
+    """
+    if len(weight_by_service) == 1:
+        return weight_by_service[0][0]
+    total = sum(weight for _, weight in weight_by_service)
+    if total <= 0:
+        return ""
+    caller_hash = (
+        flow.caller_host * 0x9E3779B1 + flow.caller_port
+    ) * 0x85EBCA6B
+    point = (caller_hash >> 8) % 10_000 / 10_000 * total
+    for service, weight in weight_by_service:
+        point -= weight
+        if point < 0:
+            return service
+    return weight_by_service[-1][0]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """Configuration of a service; rates are in requests per second."""
@@ -111,16 +124,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One immutable version of the configuration."""
+    """One immutable version of the configuration.
+
+    ``refused_addresses`` are those of routes with a value that is not valid.
+    """
 
     version: int
     route_by_address: dict[tuple[int, int], Route]
     service_by_name: dict[str, Service]
     idle_s: float
+    refused_addresses: frozenset[tuple[int, int]] = frozenset()
     _highest_priority_by_service: dict[str, float] = dataclasses.field(
         default_factory=dict, init=False, repr=False, compare=False
     )
 
+    def with_routes_kept(self, earlier: "Configuration") -> "Configuration":
+        """Return this version with the earlier form of its refused routes."""
+        route_by_address = dict(self.route_by_address)
+        for address in self.refused_addresses:
+            route = earlier.route_by_address.get(address)
+            if route is not None:
+                route_by_address.setdefault(address, route)
+        return dataclasses.replace(
+            self,
+            route_by_address=route_by_address,
+            refused_addresses=frozenset(),
+        )
+
     def highest_priority(self, service: str) -> float:
         """Return the lowest priority number of the service's routes.
 
@@ -237,7 +267,8 @@
     ``domains_out`` and ``domains_returned`` the failure domains that were
     taken out of service and returned to it. ``lapsed_ids`` are endpoints whose
     registrations ended in an outage, so that they may come back.
-    ``skipped_count`` is the number of entries that could not be decoded.
+    ``skipped_count`` is the number of entries that could not be decoded,
+    ``refused_count`` that of routes and services of the configuration.
     """
 
     revision: int
@@ -249,6 +280,7 @@
     complete: bool = False
     skipped_count: int = 0
     lapsed_ids: tuple[str, ...] = ()
+    refused_count: int = 0
 
     @property
     def empty(self) -> bool:
--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -177,6 +177,7 @@
         received = changes.configuration
         if received is None or received.version <= current.version:
             return current
+        received = received.with_routes_kept(current)
         _log.info(
             "configuration in force",
             version=received.version,
--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -62,6 +62,12 @@
     "entries",
     "Entries of the store that could not be decoded.",
 )
+CONFIGURATION_VALUES_REFUSED = metrics.declare(
+    "configuration.values_refused",
+    "counter",
+    "entries",
+    "Routes and services of configurations with a value that is not valid.",
+)
 STORE_LISTING_TIME = metrics.declare(
     "store.listing_time",
     "histogram",
@@ -201,6 +207,10 @@
                 self._metrics.count(
                     STORE_ENTRIES_SKIPPED, changes.skipped_count
                 )
+            if changes.refused_count:
+                self._metrics.count(
+                    CONFIGURATION_VALUES_REFUSED, changes.refused_count
+                )
             self._view_manager.apply(changes)
 
     async def _list_store(self) -> None:
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -39,21 +39,38 @@
     tombstone: typing.Any = None
 
 
+_Milliseconds = typing.Annotated[
+    float, msgspec.Meta(ge=0, le=view.MAX_ROUTE_TIME_S * 1000)
+]
+
+
 class _Backend(msgspec.Struct, frozen=True):
     service: str
-    weight: float = 1.0
+    weight: typing.Annotated[float, msgspec.Meta(ge=0, le=view.MAX_WEIGHT)] = (
+        1.0
+    )
 
 
-class _Route(msgspec.Struct, frozen=True):
-    name: str
+class _RouteAddress(msgspec.Struct, frozen=True):
     hostname: str
     prefix: str
+
+    def address(self) -> tuple[int, int]:
+        """Return the service address; the prefix holds the port as /8443/."""
+        port = int(self.prefix.strip("/"))
+        return segment.ipv4_to_int(self.hostname), port
+
+
+class _Route(_RouteAddress, frozen=True, kw_only=True):
+    name: str
     service: str = ""
     backends: list[_Backend] = []
     type: str = "unsafe"
-    timeout_ms: float = 0.0
-    target_latency_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: _Milliseconds = 0.0
+    target_latency_ms: _Milliseconds = 0.0
+    priority: typing.Annotated[
+        int, msgspec.Meta(ge=0, le=view.MAX_PRIORITY)
+    ] = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -113,11 +130,13 @@
     weights = [(backend.service, backend.weight) for backend in route.backends]
     if route.service:
         weights = [(route.service, 1.0)]
-    # The path prefix holds the port of the service, as in "/8443/".
+    if weights and sum(weight for _, weight in weights) <= 0:
+        raise ValueError(f"route {route.name!r}: the weights add up to 0")
+    host, port = route.address()
     return view.Route(
         name=route.name,
-        host=segment.ipv4_to_int(route.hostname),
-        port=int(route.prefix.strip("/")),
+        host=host,
+        port=port,
         weight_by_service=tuple(weights),
         idempotent=route.type in IDEMPOTENT_ROUTE_TYPES,
         timeout_s=route.timeout_ms / 1000,
@@ -136,7 +155,24 @@
     )
 
 
-def _decode_configuration(item: Item) -> view.Configuration:
+def _refused_addresses(
+    values: list[msgspec.Raw], routes: list[view.Route]
+) -> frozenset[tuple[int, int]]:
+    """Return the addresses of routes that were refused for another value."""
+    if len(routes) == len(values):
+        return frozenset()
+    addresses = conversion.convert_each(
+        values,
+        lambda value: msgspec.json.decode(value, type=_RouteAddress).address(),
+        _log,
+        "skipped a route without an address",
+    )
+    valid = {(route.host, route.port) for route in routes}
+    return frozenset(addresses) - valid
+
+
+def _decode_configuration(item: Item) -> tuple[view.Configuration, int]:
+    """Return a configuration and the number of its entries left out."""
     decoded = msgspec.json.decode(_decode_value(item), type=_Configuration)
     routes = conversion.convert_each(
         decoded.routes, _decode_route, _log, "skipped a route"
@@ -144,12 +180,16 @@
     services = conversion.convert_each(
         decoded.services, _decode_service, _log, "skipped a service"
     )
-    return view.Configuration(
+    configuration = view.Configuration(
         version=decoded.version,
         route_by_address={(route.host, route.port): route for route in routes},
         service_by_name={service.name: service for service in services},
         idle_s=decoded.limits.idle_timeout_ms / 1000,
+        refused_addresses=_refused_addresses(decoded.routes, routes),
     )
+    refused_count = len(decoded.routes) - len(routes)
+    refused_count += len(decoded.services) - len(services)
+    return configuration, refused_count
 
 
 def decode_items(values: list[msgspec.Raw]) -> list[Item]:
@@ -175,7 +215,7 @@
     endpoint_by_id: dict[str, view.Endpoint] = {}
     removed: dict[str, None] = {}
     out_by_domain: dict[str, bool] = {}
-    skipped_count = 0
+    skipped_count = refused_count = 0
     for item in items:
         exists = item.value is not None and not item.tombstone
         try:
@@ -190,7 +230,7 @@
                 domain = item.key.removeprefix(EVACUATION_PREFIX)
                 out_by_domain[domain] = exists
             elif item.key == CONFIGURATION_KEY and exists:
-                configuration = _decode_configuration(item)
+                configuration, refused_count = _decode_configuration(item)
         except Exception as error:
             # Another writer's value may raise anything, and one that stopped
             # the reader would keep every later change from all daemons.
@@ -213,4 +253,5 @@
         ),
         complete=complete,
         skipped_count=skipped_count,
+        refused_count=refused_count,
     )
