Rank endpoints that fail many of their requests last

Cause: an endpoint that accepts flows and then resets, closes or never answers a part of its requests kept its full share of new flows.

Change: the agent turns the ends of requests into outcomes and reports the state "failing" with hysteresis. Balancers rank such endpoints behind those without capacity, send them a few trial openings of idempotent routes, and ignore the state if more than a third of a flow's candidates fail. A request without an answer for 12 service times counts as unanswered unless it may be queued behind earlier ones. Callers that leave, returned packets, unverified flows and stalls of the agent have no outcome. The stand-in endpoint gets faults that it shows on a part of its requests.

Ruled out: one trial a second from each balancer alone, which at 22 balancers is an endpoint's usual load; judging by a free slot alone, since endpoints may run requests of callers that left.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -44,6 +44,7 @@
         self._reports = kernel.get("reports")
         self.flows: endpoint_flows.EndpointFlows = self._admission.flows
         self._metrics = kernel.get("metrics")
+        self.flows.health.count = self._metrics.count
         self._unanswered_openings = 0
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
         self._peers.set_handler(frames.Offer, self._on_offer)
@@ -320,13 +321,8 @@
             entry.offer, entry.opening = None, b""
         if packet.data_bytes and entry.record_endpoint_data(packet):
             self.flows.end_request(entry, answered=True)
-        if packet.rst:
-            self.flows.end(entry)
-        elif packet.fin:
-            entry.endpoint_finished = True
-            self.flows.end_request(entry, answered=False)
-            if entry.caller_finished:
-                self.flows.end(entry)
+        if packet.rst or packet.fin:
+            self.flows.end_by_endpoint(entry, packet.rst)
         self._metrics.count(agent_metrics.PACKETS_TO_CALLERS)
         self._peers.send_raw(data, entry.caller_address)
 
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from bramleypin.internal.stream import endpoint_health
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import settings as stream_settings
@@ -45,9 +46,10 @@
     that it has not answered yet.
     ``measures_service_time`` marks a request that started in a free slot, so
     its duration does not include queueing. ``budget_s`` is the time that
-    the caller waits for an answer. ``caller_position`` is the end of the data
-    received from the caller, or -1 before the first packet;
-    ``endpoint_position`` is the same for the endpoint's data.
+    the caller waits for an answer. ``watched_request`` is the running request
+    if its data has arrived and the flow was verified. ``caller_position`` is
+    the end of the data received from the caller, or -1 before the first
+    packet; ``endpoint_position`` is the same for the endpoint's data.
     ``verified`` is true once the endpoint has shown that it holds this flow,
     and not an earlier one with the same addresses and ports. Until then,
     ``tried_packets`` are the caller's latest packets given to the endpoint.
@@ -67,6 +69,7 @@
     established: bool = False
     request_started_s: float | None = None
     measures_service_time: bool = False
+    watched_request: endpoint_health.WatchedRequest | None = None
     caller_finished: bool = False
     endpoint_finished: bool = False
     ended_s: float | None = None
@@ -214,6 +217,7 @@
         self.running_requests = 0
         self.open_flow_count = 0
         self.service_time_s = 0.0
+        self.health = endpoint_health.EndpointHealth()
         self.on_request_end: typing.Callable[[], None] = lambda: None
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
@@ -293,13 +297,43 @@
     def begin_request(self, entry: EndpointFlow, slots: int) -> None:
         """Record that the endpoint received a request of this flow."""
         is_open = entry.ended_s is None and not entry.endpoint_finished
+        now_s = anyio.current_time()
         if entry.request_started_s is None and is_open:
             entry.measures_service_time = self.running_requests < slots
-            entry.request_started_s = anyio.current_time()
+            entry.request_started_s = now_s
             self.running_requests += 1
+        # An opening begins a request before its data. An endpoint that does
+        # not hold the flow is not at fault for leaving it unanswered.
+        if is_open and entry.established and entry.verified:
+            entry.watched_request = self.health.record_data(
+                entry.watched_request, entry.measures_service_time, now_s
+            )
+
+    def check_health(self) -> None:
+        """Look for requests that the endpoint leaves unanswered."""
+        self.health.check(self.service_time_s, anyio.current_time())
+
+    def end_by_endpoint(self, entry: EndpointFlow, reset: bool) -> None:
+        """Record that the endpoint reset a flow or finished its data."""
+        if not entry.caller_finished and entry.ended_s is None:
+            self._end_watched(entry, endpoint_health.Outcome.RESET)
+        if not reset:
+            entry.endpoint_finished = True
+            self.end_request(entry, answered=False)
+        if reset or entry.caller_finished:
+            self.end(entry)
+
+    def _end_watched(
+        self, entry: EndpointFlow, outcome: endpoint_health.Outcome | None
+    ) -> None:
+        request, entry.watched_request = entry.watched_request, None
+        self.health.end(request, outcome, anyio.current_time())
 
     def end_request(self, entry: EndpointFlow, answered: bool) -> None:
         """Record that the running request was answered or abandoned."""
+        self._end_watched(
+            entry, endpoint_health.Outcome.ANSWERED if answered else None
+        )
         if entry.request_started_s is None:
             return
         self.running_requests -= 1
@@ -333,6 +367,7 @@
         ``idle_s`` and any other ``HALF_OPEN_TIMEOUT_S`` after its last packet.
         """
         now_s = anyio.current_time()
+        self.check_health()
         for entry in list(self.flow_by_key.values()):
             was_ended = entry.ended_s is not None
             if entry.ended_s is not None:
@@ -352,6 +387,7 @@
                 and now_s - entry.request_started_s > entry.budget_s
             ):
                 # The caller has given up, whether or not it closed the flow.
+                self.health.expire(entry.watched_request, now_s)
                 self.end_request(entry, answered=False)
 
     def established_flows(self) -> list[EndpointFlow]:
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -52,9 +52,9 @@
     duration, or 0 when unknown. ``queue_full`` means that the endpoint
     accepts no further request. ``cold_allowance`` is the number of requests
     that a cold endpoint may still accept now, or -1 when it is not cold.
-    ``state`` is ``ready``, ``leaving`` (no new flows) or ``silent`` (the
-    endpoint does not answer). ``revision`` is the revision of the agent's
-    view.
+    ``state`` is ``ready``, ``leaving`` (no new flows), ``silent`` (the
+    endpoint does not answer) or ``failing`` (it accepts flows and fails many
+    of their requests). ``revision`` is the revision of the agent's view.
     """
 
     host: str
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -8,6 +8,7 @@
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
 from bramleypin.internal import registry
+from bramleypin.internal.stream import failing_hosts
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import view as view_module
 
@@ -94,7 +95,7 @@
 
 
 @kernel_module.service(
-    "loads", roles=("stream_balancer",), needs=("view", "peer_port")
+    "loads", roles=("stream_balancer",), needs=("view", "peer_port", "metrics")
 )
 class AgentLoads(kernel_module.Service):
     """Ranks the endpoints that may receive a new flow.
@@ -108,6 +109,9 @@
         self._view_manager = kernel.get("view")
         self._random = kernel.environment.random
         self._domain = kernel.settings.failure_domain
+        self._failing = failing_hosts.FailingHosts(
+            self._random, kernel.get("metrics").count
+        )
         self.on_free_slot: typing.Callable[[str], None] = lambda host: None
         kernel.get("peer_port").set_handler(
             frames.LoadReport, self._on_load_report
@@ -146,7 +150,8 @@
         load.slot_requested_s = float("-inf")
         load.offers_since_report = 0
         load.unresponsive_until_s = float("-inf")
-        if load.state == "ready" and not load.lacks_capacity_for(is_late=True):
+        serves = load.state in ("ready", "failing")
+        if serves and not load.lacks_capacity_for(is_late=True):
             self.on_free_slot(host)
 
     def count_offer(self, host: str) -> None:
@@ -199,6 +204,16 @@
         """
         now_s = anyio.current_time()
         score = SCORES.get("expected_time")
+        failing = self._failing.choose(
+            {
+                endpoint.host: self._load_for_host(
+                    endpoint.host, endpoint.slots
+                )
+                for endpoint in candidates
+            },
+            may_try=route.idempotent and not tried_hosts,
+            now_s=now_s,
+        )
         ranked: list[tuple[int, float, str]] = []
         for endpoint in candidates:
             host = endpoint.host
@@ -216,9 +231,9 @@
                 load.slots = endpoint.slots
             value = score(load, route, is_local)
             value *= 1 + MAX_SCORE_JITTER * self._random.random()
-            ranked.append(
-                (self._rank_class(load, now_s, is_late), value, host)
-            )
+            rank_class = self._rank_class(load, now_s, is_late)
+            rank_class = failing.rank_class(host, rank_class)
+            ranked.append((rank_class, value, host))
         ranked.sort()
         return [host for _, _, host in ranked[:MAX_OFFERED_HOSTS]]
 
@@ -265,15 +280,15 @@
         """Return the class of an agent; lower classes are ranked first.
 
         The classes are 0 for a free slot, 1 for queue space only, 2 for no
-        capacity, 3 for an unresponsive agent, 4 for a silent endpoint and 5
-        for an agent that is leaving.
+        capacity, 4 for an unresponsive agent, 5 for a silent endpoint and 6
+        for an agent that is leaving. ``failing_hosts`` adds two more.
         """
         if load.state == "leaving":
-            return 5
+            return 6
         if load.state == "silent":
-            return 4
+            return 5
         if load.unresponsive_until_s > now_s:
-            return 3
+            return 4
         if load.lacks_capacity_for(is_late) or load.cold_allowance == 0:
             return 2
         # An agent without a free slot passes the opening on while the offer
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -159,7 +159,10 @@
         """Return the state that is sent in reports."""
         if self.leaving:
             return "leaving"
-        return "silent" if self.endpoint_silent else "ready"
+        self.flows.check_health()
+        if self.endpoint_silent:
+            return "silent"
+        return "failing" if self.flows.health.failing else "ready"
 
 
 @CHECKS.register("no view")
--- a/src/bramleypin/standins/stream_endpoint.py
+++ b/src/bramleypin/standins/stream_endpoint.py
@@ -11,6 +11,7 @@
 
 SEQUENCE_MASK = 0xFFFFFFFF
 REQUEST_END = b"end"
+SLOW_FACTOR = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,7 +29,10 @@
     ``keep_open``, it answers any number of requests on a flow and closes
     none. While ``silent`` is set, it drops all packets, like a machine that
     has lost power. ``received`` and ``bounced`` are the flows' packets, except
-    openings, that it accepted and returned.
+    openings, that it accepted and returned. With ``fault``, it fails the
+    fraction ``fault_fraction`` of its requests: "hang" never answers and keeps
+    no slot, "reset" and "close" end the flow without an answer, "slow" takes
+    eight times as long, "error" answers at once.
     """
 
     def __init__(
@@ -47,6 +51,8 @@
         self.work_s = work_s
         self.keep_open = keep_open
         self.silent = False
+        self.fault = ""
+        self.fault_fraction = 0.4
         self.received: list[FlowEvent] = []
         self.bounced: list[FlowEvent] = []
         self.runs: list[FlowEvent] = []
@@ -135,11 +141,35 @@
         ahead = (acknowledged - sequence - 1) & SEQUENCE_MASK
         return ahead <= self._sent_bytes_by_flow.get(flow, 0)
 
-    async def _serve_next_request(self, flow: segment.Flow, end: int) -> None:
-        """Answer one of several requests of a flow with its end position."""
+    async def _work(self, flow: segment.Flow) -> bool:
+        """Run a request; return whether to answer it."""
+        fault = ""
+        if self.fault and self.process.random.random() < self.fault_fraction:
+            fault = self.fault
+        if fault == "hang":
+            return False
+        if fault == "error":
+            return True
+        if fault in ("reset", "close"):
+            own_sequence = self._sequence_by_flow.get(flow, 0)
+            sent_bytes = self._sent_bytes_by_flow.get(flow, 0)
+            flags = {
+                "reset": stream_codec.RST,
+                "close": stream_codec.ACK | stream_codec.FIN,
+            }[fault]
+            self._ended_flows.add(flow)
+            self._send(flow, flags, own_sequence + 1 + sent_bytes, 0)
+            return False
         async with self._free_slots:
             self.runs.append(FlowEvent(flow, anyio.current_time()))
-            await anyio.sleep(self.work_s)
+            work_s = self.work_s * (SLOW_FACTOR if fault == "slow" else 1)
+            await anyio.sleep(work_s)
+        return True
+
+    async def _serve_next_request(self, flow: segment.Flow, end: int) -> None:
+        """Answer one of several requests of a flow with its end position."""
+        if not await self._work(flow):
+            return
         own_sequence = self._sequence_by_flow.get(flow)
         if own_sequence is None or self.silent:
             return
@@ -161,9 +191,8 @@
         self._send(flow, flags, position, 0)
 
     async def _serve_request(self, flow: segment.Flow, sequence: int) -> None:
-        async with self._free_slots:
-            self.runs.append(FlowEvent(flow, anyio.current_time()))
-            await anyio.sleep(self.work_s)
+        if not await self._work(flow):
+            return
         own_sequence = self._sequence_by_flow.get(flow)
         if own_sequence is not None and not self.silent:
             flags = stream_codec.ACK | stream_codec.FIN
--- a/tests/cover/test_stream_admission.py
+++ b/tests/cover/test_stream_admission.py
@@ -6,6 +6,7 @@
 import parameterized
 
 from bramleypin.internal.stream import endpoint_flows
+from bramleypin.internal.stream import endpoint_health
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import settings as stream_settings
@@ -245,6 +246,29 @@
 
         self.assertEqual(running_requests, virtual_network.run(main))
 
+    @parameterized.parameterized.expand([(True, 8), (False, 0)])
+    def test_requests_of_flows_that_the_endpoint_holds_count_as_failed(
+        self, verified, expected
+    ):
+        """Guards against endpoints blamed for flows that they do not hold."""
+
+        async def main():
+            counts = []
+            flows = endpoint_flows.EndpointFlows(_Settings)
+            flows.health.count = counts.append
+            for port in range(8):
+                entry = flows.add(segment.Flow(1, port, 3, 4))
+                entry.established, entry.verified = True, verified
+                entry.budget_s = 1.5
+                flows.begin_request(entry, 5)
+            for _ in range(16):
+                await anyio.sleep(0.1)
+                flows.check_health()
+            flows.purge(15.0)
+            return counts.count(endpoint_health.REQUESTS_UNANSWERED)
+
+        self.assertEqual(expected, virtual_network.run(main))
+
     def test_a_flow_lingers_for_late_packets_and_is_then_forgotten(self):
         """Guards against late packets that an agent returns as unknown.
 
--- a/tests/cover/test_stream_loads.py
+++ b/tests/cover/test_stream_loads.py
@@ -13,6 +13,8 @@
 from bramleypin.standins import virtual_network
 
 LOCAL_HOST, REMOTE_HOST, OTHER_REMOTE_HOST = "10.0.1.1", "10.0.1.2", "10.0.1.3"
+# Openings of such a route are never sent to a failing endpoint as a trial.
+ONCE = stream_fleet.route(idempotent=False)
 
 
 class _Kernel:
@@ -31,6 +33,9 @@
     def set_handler(self, message, handler):
         """Accept a handler; no frame arrives here."""
 
+    def count(self, metric):
+        """Accept a count; no test reads it."""
+
 
 def view_of_three(out=(), draining=()) -> view.View:
     """Return a view with one endpoint in each of the domains a, b, c."""
@@ -80,7 +85,13 @@
 
 
 def rank_hosts(
-    reports, view_=None, offers=(), unresponsive=(), tried=(), wait_s=0.0
+    reports,
+    view_=None,
+    offers=(),
+    unresponsive=(),
+    tried=(),
+    wait_s=0.0,
+    route=None,
 ):
     """Return the ranking after some reports and events (virtual clock)."""
 
@@ -95,7 +106,7 @@
         await anyio.sleep(wait_s)
         candidates = eligible_endpoints(view_ or view_of_three())
         return service.ranked_hosts(
-            candidates, stream_fleet.route(), list(tried)
+            candidates, route or stream_fleet.route(), list(tried)
         )
 
     return virtual_network.run(main)
@@ -170,6 +181,46 @@
                 {},
                 None,
             ),
+            (
+                "another one when the local one fails requests",
+                [report(LOCAL_HOST, state="failing")],
+                {"route": ONCE},
+                None,
+            ),
+            (
+                "another one that is full when the local one fails requests",
+                [
+                    report(LOCAL_HOST, state="failing"),
+                    report(REMOTE_HOST, 5, queue_full=True),
+                    report(OTHER_REMOTE_HOST, 5, queue_full=True),
+                ],
+                {"route": ONCE},
+                None,
+            ),
+            (
+                "the failing local one when the others do not answer",
+                [report(LOCAL_HOST, state="failing")],
+                {
+                    "route": ONCE,
+                    "unresponsive": [REMOTE_HOST, OTHER_REMOTE_HOST],
+                },
+                LOCAL_HOST,
+            ),
+            (
+                "the local one when more than a third fail",
+                [
+                    report(LOCAL_HOST, state="failing"),
+                    report(REMOTE_HOST, state="failing"),
+                ],
+                {"route": ONCE},
+                LOCAL_HOST,
+            ),
+            (
+                "the local one 6 s after it reported to fail requests",
+                [report(LOCAL_HOST, state="failing")],
+                {"route": ONCE, "wait_s": 6.1},
+                LOCAL_HOST,
+            ),
         ]
     )
     def test_a_flow_is_offered_first_to(self, _, reports, options, expected):
