Count a balancer's offers until the agent answers them

A report set the count of own offers to 0, though the agent may have sent it before the offers arrived, so a balancer offered more openings to an endpoint that its own offers had filled. Each offer is now counted until its answer arrives, whose report includes it, or for 0.06 s. An opening that an agent passes on is counted at the next agent as well, and the cold allowance is reduced by the unanswered offers instead of until the next report. Ruled out: times in reports, which would need clocks that agree. Clearing the offers at a report fails one case of test_own_offers_fill_an_endpoint_after, a time-out of 6 s another.

--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -9,6 +9,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal import registry
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import load_estimate
 from bramleypin.internal.stream import view as view_module
 
 # A free slot is asked for once in this time, however many openings wait.
@@ -36,42 +37,48 @@
 
 _log = logs.get("loads")
 
-Score = typing.Callable[["AgentLoad", view_module.Route, bool], float]
+Score = typing.Callable[["AgentLoad", view_module.Route, bool, float], float]
 SCORES: registry.Registry[Score] = registry.Registry("placement of flows")
 
 
 @dataclasses.dataclass(slots=True)
 class AgentLoad:
-    """The latest report of an agent and the offers sent to it since.
+    """The latest report of an agent and the offers that it lacks.
 
-    ``cold_allowance`` is the number of requests that a cold endpoint may
-    still accept, or -1 when it is not cold.
+    ``cold_allowance`` is the reported number of requests that a cold endpoint
+    may still accept, or -1 when it is not cold.
     """
 
     slots: int
     service: str = ""
-    running_requests: int = 0
+    estimate: load_estimate.LoadEstimate = dataclasses.field(
+        default_factory=load_estimate.LoadEstimate
+    )
     service_time_s: float = 0.0
     cold_allowance: int = -1
     state: str = "ready"
     queue_full: bool = False
-    reported_s: float = float("-inf")
-    offers_since_report: int = 0
     unresponsive_until_s: float = float("-inf")
     slot_requested_s: float = float("-inf")
 
-    def lacks_capacity_for(self, is_late: bool) -> bool:
+    def lacks_capacity_for(self, is_late: bool, now_s: float) -> bool:
         """Return whether a request has neither a free slot nor queue space.
 
         Late requests never queue, so they need a free slot.
         """
-        running_requests = self.running_requests + self.offers_since_report
-        return self.queue_full or (is_late and running_requests >= self.slots)
+        return self.queue_full or (
+            is_late and self.estimate.running_requests(now_s) >= self.slots
+        )
+
+    def reached_cold_limit(self, now_s: float) -> bool:
+        """Return whether a cold endpoint may accept no further request."""
+        unanswered_offers = self.estimate.unanswered_offers(now_s)
+        return 0 <= self.cold_allowance <= unanswered_offers
 
 
 @SCORES.register("expected_time")
 def expected_time(
-    load: AgentLoad, route: view_module.Route, is_local: bool
+    load: AgentLoad, route: view_module.Route, is_local: bool, now_s: float
 ) -> float:
     """Return the expected time to an answer, in seconds.
 
@@ -80,7 +87,7 @@
     latency objective.
     """
     service_time_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
-    running_requests = load.running_requests + load.offers_since_report
+    running_requests = load.estimate.running_requests(now_s)
     queued = max(0, running_requests + 1 - load.slots)
     expected_s = service_time_s * (1 + queued / load.slots)
     # Among endpoints with free slots, prefers the less loaded one: it has more
@@ -129,7 +136,8 @@
         load = self._load_for_host(host, report.slots)
         load.service = report.service
         load.slots = max(1, report.slots)
-        load.running_requests = report.running_requests
+        now_s = anyio.current_time()
+        load.estimate.record_report(report.running_requests, now_s)
         load.service_time_s = report.service_time_s
         load.cold_allowance = report.cold_allowance
         load.queue_full = report.queue_full
@@ -142,20 +150,27 @@
                 revision=report.revision,
             )
         load.state = report.state
-        load.reported_s = anyio.current_time()
         load.slot_requested_s = float("-inf")
-        load.offers_since_report = 0
         load.unresponsive_until_s = float("-inf")
-        if load.state == "ready" and not load.lacks_capacity_for(is_late=True):
+        if load.state == "ready" and not load.lacks_capacity_for(
+            is_late=True, now_s=now_s
+        ):
             self.on_free_slot(host)
 
-    def count_offer(self, host: str) -> None:
+    def record_offer(self, host: str, number: int) -> None:
         """Count an offer that the agent's latest report does not include."""
         load = self.load_by_host.get(host)
         if load is not None:
-            load.offers_since_report += 1
-            if load.cold_allowance > 0:
-                load.cold_allowance -= 1
+            load.estimate.record_offer(number, anyio.current_time())
+
+    def record_answer(
+        self, host: str, number: int, report: frames.Report
+    ) -> None:
+        """Store the report in an agent's answer, which includes the offer."""
+        load = self.load_by_host.get(host)
+        if load is not None:
+            load.estimate.record_answer(number)
+        self.record_report(report, host)
 
     def record_waiting(self, host: str) -> bool:
         """Return whether to ask a host's agent for its next free slot now."""
@@ -174,7 +189,7 @@
             _log.info(
                 "agent did not answer",
                 host=host,
-                report_age_s=round(now_s - load.reported_s, 3),
+                report_age_s=round(now_s - load.estimate.reported_s, 3),
             )
         load.unresponsive_until_s = now_s + UNRESPONSIVE_S
 
@@ -206,15 +221,12 @@
                 continue
             load = self._load_for_host(host, endpoint.slots)
             is_local = endpoint.failure_domain == self._domain
-            if now_s - load.reported_s > MAX_REPORT_AGE_S:
-                (
-                    load.running_requests,
-                    load.offers_since_report,
-                    load.cold_allowance,
-                ) = (0, 0, -1)
+            if now_s - load.estimate.reported_s > MAX_REPORT_AGE_S:
+                load.estimate.reported_requests = 0
+                load.cold_allowance = -1
                 load.queue_full = False
                 load.slots = endpoint.slots
-            value = score(load, route, is_local)
+            value = score(load, route, is_local, now_s)
             value *= 1 + MAX_SCORE_JITTER * self._random.random()
             ranked.append(
                 (self._rank_class(load, now_s, is_late), value, host)
@@ -232,9 +244,10 @@
         Late requests need a free slot; others may also be queued.
         """
         load = self.load_by_host[host]
-        age_s = anyio.current_time() - load.reported_s
+        now_s = anyio.current_time()
+        age_s = now_s - load.estimate.reported_s
         return age_s < MAX_FULL_REPORT_AGE_S and load.lacks_capacity_for(
-            is_late
+            is_late, now_s
         )
 
     def will_miss_objective(
@@ -274,12 +287,10 @@
             return 4
         if load.unresponsive_until_s > now_s:
             return 3
-        if load.lacks_capacity_for(is_late) or load.cold_allowance == 0:
+        if load.lacks_capacity_for(is_late, now_s) or load.reached_cold_limit(
+            now_s
+        ):
             return 2
         # An agent without a free slot passes the opening on while the offer
         # lists another host, so asking it first only adds delay.
-        return (
-            1
-            if load.running_requests + load.offers_since_report >= load.slots
-            else 0
-        )
+        return int(load.estimate.running_requests(now_s) >= load.slots)
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -10,6 +10,7 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
+from bramleypin.internal.stream import load_estimate
 from bramleypin.internal.stream import postponed
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
@@ -18,7 +19,7 @@
 # An agent answers once its endpoint has accepted the flow, or passes the
 # opening on. Offers are not retransmitted: if one is lost, the next agent
 # is asked after this time, and the caller retransmits its opening packet.
-ANSWER_TIMEOUT_S = 0.06
+ANSWER_TIMEOUT_S = load_estimate.OFFER_TIMEOUT_S
 TICK_INTERVAL_S = 0.01
 # Callers abandon an opening after 1.4 s, so one that waits longer than this
 # could be accepted too late.
@@ -225,7 +226,7 @@
             opening.packet.raw,
         )
         opening.tried_hosts.append(opening.host)
-        self._loads.count_offer(opening.host)
+        self._loads.record_offer(opening.host, self._last_offer_number)
         return True
 
     def _update_route(self, opening: Opening) -> bool:
@@ -285,7 +286,7 @@
     def _on_offer_answer(
         self, message: frames.OfferAnswer, _: bytes, host: str
     ) -> None:
-        self._loads.record_report(message.report, host)
+        self._loads.record_answer(host, message.opening, message.report)
         opening = self._opening_by_offer.get(message.opening)
         if opening is None:
             return
@@ -310,6 +311,7 @@
             return
         elif message.outcome == "passed":
             opening.host = message.reason
+            self._loads.record_offer(opening.host, message.opening)
             opening.tried_hosts.append(message.reason)
             opening.next_offer_s = anyio.current_time() + ANSWER_TIMEOUT_S
         elif message.outcome == "refused":
--- a/tests/cover/test_stream_loads.py
+++ b/tests/cover/test_stream_loads.py
@@ -88,8 +88,8 @@
         service = loads.AgentLoads(_Kernel(view_ or view_of_three()))
         for item in reports:
             service.record_report(item, item.host)
-        for host in offers:
-            service.count_offer(host)
+        for number, host in enumerate(offers):
+            service.record_offer(host, number)
         for host in unresponsive:
             service.mark_unresponsive(host)
         await anyio.sleep(wait_s)
@@ -206,3 +206,33 @@
             return dict(service.load_by_host)
 
         self.assertEqual({}, virtual_network.run(main))
+
+    @parameterized.parameterized.expand(
+        [
+            ("a report sent before they arrived", 0, 0.0, True),
+            ("the answer to one of them", 1, 0.0, False),
+            ("the answers to all of them", 5, 0.0, False),
+            ("the time-out of all of them", 0, 0.07, False),
+        ]
+    )
+    def test_own_offers_fill_an_endpoint_after(
+        self, _, answers, wait_s, is_full
+    ):
+        """Guards against offers that a report can neither show nor end.
+
+        Five offers fill the five slots of the endpoint, whose reports show
+        none of them.
+        """
+
+        async def main():
+            service = loads.AgentLoads(_Kernel(view_of_three()))
+            service.record_report(report(LOCAL_HOST), LOCAL_HOST)
+            for number in range(5):
+                service.record_offer(LOCAL_HOST, number)
+            service.record_report(report(LOCAL_HOST), LOCAL_HOST)
+            for number in range(answers):
+                service.record_answer(LOCAL_HOST, number, report(LOCAL_HOST))
+            await anyio.sleep(wait_s)
+            return service.reports_no_capacity(LOCAL_HOST, is_late=True)
+
+        self.assertEqual(is_full, virtual_network.run(main))
--- a/tests/cover/test_stream_openings.py
+++ b/tests/cover/test_stream_openings.py
@@ -46,7 +46,7 @@
     def will_miss_objective(self, candidates, age_s, latency_objective_s):
         return False
 
-    def count_offer(self, host):
+    def record_offer(self, host, number):
         """Ignore an offer."""
 
 
