Estimate an endpoint's service time by route

The moving average of raw durations followed outliers, the mix of routes and the time between an opening and its data. A sample now starts with the last data of a request and is compared with the mean work of its route, and counts at most three times its expected value. Ruled out: waiting for five samples before the first value, since an opening then waits too long at an endpoint that is slower than the default (PlannedStopTest failed).

--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -8,6 +8,7 @@
 
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import service_time
 from bramleypin.internal.stream import settings as stream_settings
 
 # Late packets may still arrive for a flow that has ended, and the endpoint
@@ -18,8 +19,6 @@
 OPENING_TIMEOUT_S = 1.4
 # A flow that is not established expires this long after its last packet.
 HALF_OPEN_TIMEOUT_S = 3.0
-# Weight of a new sample in the moving average of the service time.
-SAMPLE_WEIGHT = 0.1
 # Time that a caller is assumed to wait for an answer if no route states one.
 DEFAULT_BUDGET_S = 10.0
 # Openings carry the number of earlier copies (far fewer than this) in place of
@@ -42,7 +41,7 @@
     balancer that sent the latest packet, ``endpoint_sequence`` the sequence
     number of the endpoint's SYN+ACK, or -1 until then.
     ``request_started_s`` is the time at which the endpoint received a request
-    that it has not answered yet.
+    that it has not answered yet, ``request_data_s`` that of its latest data.
     ``measures_service_time`` marks a request that started in a free slot, so
     its duration does not include queueing. ``budget_s`` is the time that
     the caller waits for an answer. ``caller_position`` is the end of the data
@@ -66,6 +65,7 @@
     endpoint_sequence: int = -1
     established: bool = False
     request_started_s: float | None = None
+    request_data_s: float | None = None
     measures_service_time: bool = False
     caller_finished: bool = False
     endpoint_finished: bool = False
@@ -128,6 +128,7 @@
         ):
             return False
         self.caller_position = end
+        self.request_data_s = anyio.current_time()
         return True
 
     def record_endpoint_data(self, packet: segment.Segment) -> bool:
@@ -204,7 +205,6 @@
     ``half_open_by_key`` holds the flows whose callers have not acknowledged
     the SYN+ACK. ``running_requests`` is the number of requests at the
     endpoint, ``open_flow_count`` the number of flows that have not ended.
-    ``service_time_s`` is 0 until the first request has been answered.
     ``on_request_end()`` is called when a request ends.
     """
 
@@ -213,7 +213,7 @@
         self.half_open_by_key: dict[segment.Flow, EndpointFlow] = {}
         self.running_requests = 0
         self.open_flow_count = 0
-        self.service_time_s = 0.0
+        self.service_time = service_time.ServiceTimeEstimate()
         self.on_request_end: typing.Callable[[], None] = lambda: None
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
@@ -224,6 +224,11 @@
             segment.Flow, int | None
         ] = collections.OrderedDict()
 
+    @property
+    def service_time_s(self) -> float:
+        """The endpoint's service time; 0 with too few answered requests."""
+        return self.service_time.seconds
+
     def add(self, key: segment.Flow) -> EndpointFlow:
         """Add a flow, which replaces an earlier one with the same key.
 
@@ -304,14 +309,12 @@
             return
         self.running_requests -= 1
         self.on_request_end()
-        duration_s = anyio.current_time() - entry.request_started_s
-        entry.request_started_s = None
-        if not answered or not entry.measures_service_time:
-            return
-        if not self.service_time_s:
-            self.service_time_s = duration_s
-        change_s = duration_s - self.service_time_s
-        self.service_time_s += SAMPLE_WEIGHT * change_s
+        data_s = entry.request_data_s
+        entry.request_started_s = entry.request_data_s = None
+        if answered and entry.measures_service_time and data_s is not None:
+            now_s = anyio.current_time()
+            route = (entry.flow.service_host, entry.flow.service_port)
+            self.service_time.add(now_s - data_s, route, now_s)
 
     def end(self, entry: EndpointFlow) -> None:
         """Mark a flow as ended but keep it for late packets."""
