Choose endpoints at random by the age of reports

Balancers with the same old reports chose the same endpoint, and fast endpoints got all first offers until they were full. Reported requests now decay at the endpoint's rate, and the expected time varies at random with the report's age; the variation alone never outweighs the penalty of another failure domain. New metrics: stream.report_age, stream.offers_to_full, stream.load_spread.

--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -1,12 +1,14 @@
 """Tracks the load of agents and ranks endpoints for new flows."""
 
 import dataclasses
+import math
 import typing
 
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
 from bramleypin.internal import registry
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import load_estimate
@@ -16,8 +18,6 @@
 SLOT_REQUEST_INTERVAL_S = 0.1
 # Time for which an agent that did not answer is ranked behind responsive ones.
 UNRESPONSIVE_S = 1.0
-# Assumed service time until an agent has reported one.
-DEFAULT_SERVICE_TIME_S = 0.05
 # The load in a report older than this is ignored.
 MAX_REPORT_AGE_S = 1.0
 # A report of missing capacity prevents offers until it is older than this.
@@ -29,15 +29,39 @@
 REMOTE_PENALTY = 0.35
 # Weight of the fraction of busy slots, relative to the service time.
 LOAD_WEIGHT = 0.2
-# Maximum relative increase of a score, chosen at random so that balancers with
-# the same reports choose different endpoints.
-MAX_SCORE_JITTER = 0.1
+# Requests below the number of slots from which an endpoint counts as full. An
+# estimate decays, so it is below the slots as soon as a report is old.
+FULL_TOLERANCE = 0.5
 # Maximum number of agents in one offer, including those it is passed on to.
 MAX_OFFERED_HOSTS = 3
 
+REPORT_AGE = metrics.declare(
+    "stream.report_age",
+    "histogram",
+    "seconds",
+    "Age of an agent's report when an opening is offered to the agent.",
+)
+OFFERS_TO_FULL = metrics.declare(
+    "stream.offers_to_full",
+    "counter",
+    "offers",
+    "Offers passed on or refused by an agent without a free slot.",
+)
+LOAD_SPREAD = metrics.declare(
+    "stream.load_spread",
+    "gauge",
+    "requests",
+    "Highest minus lowest estimated load per slot among a flow's candidates.",
+)
+
 _log = logs.get("loads")
 
-Score = typing.Callable[["AgentLoad", view_module.Route, bool, float], float]
+# Returns the score of an endpoint; the lowest is best. The arguments after the
+# route are whether the endpoint is local, the time, and the random deviation
+# of the score as a fraction of its expected time.
+Score = typing.Callable[
+    ["AgentLoad", view_module.Route, bool, float, float], float
+]
 SCORES: registry.Registry[Score] = registry.Registry("placement of flows")
 
 
@@ -67,7 +91,7 @@
         Late requests never queue, so they need a free slot.
         """
         return self.queue_full or (
-            is_late and self.estimate.running_requests(now_s) >= self.slots
+            is_late and self.estimate.known_requests(now_s) >= self.slots
         )
 
     def reached_cold_limit(self, now_s: float) -> bool:
@@ -78,15 +102,21 @@
 
 @SCORES.register("expected_time")
 def expected_time(
-    load: AgentLoad, route: view_module.Route, is_local: bool, now_s: float
+    load: AgentLoad,
+    route: view_module.Route,
+    is_local: bool,
+    now_s: float,
+    deviation: float,
 ) -> float:
     """Return the expected time to an answer, in seconds.
 
     When all slots are busy, the time includes the requests queued ahead. An
     endpoint in another failure domain gets a penalty in proportion to the
-    latency objective.
+    latency objective. The deviation alone never makes up for it.
     """
-    service_time_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
+    service_time_s = (
+        load.service_time_s or load_estimate.DEFAULT_SERVICE_TIME_S
+    )
     running_requests = load.estimate.running_requests(now_s)
     queued = max(0, running_requests + 1 - load.slots)
     expected_s = service_time_s * (1 + queued / load.slots)
@@ -95,13 +125,15 @@
     expected_s += (
         service_time_s * LOAD_WEIGHT * min(1.0, running_requests / load.slots)
     )
-    return expected_s + (
-        0.0 if is_local else REMOTE_PENALTY * route.latency_objective_s
-    )
+    penalty_s = REMOTE_PENALTY * route.latency_objective_s
+    deviation_s = deviation * expected_s
+    if penalty_s > 0:
+        deviation_s = max(-penalty_s / 2, min(penalty_s / 2, deviation_s))
+    return expected_s + deviation_s + (0.0 if is_local else penalty_s)
 
 
 @kernel_module.service(
-    "loads", roles=("stream_balancer",), needs=("view", "peer_port")
+    "loads", roles=("stream_balancer",), needs=("view", "peer_port", "metrics")
 )
 class AgentLoads(kernel_module.Service):
     """Ranks the endpoints that may receive a new flow.
@@ -113,6 +145,7 @@
         super().__init__(kernel)
         self.load_by_host: dict[str, AgentLoad] = {}
         self._view_manager = kernel.get("view")
+        self._metrics = kernel.get("metrics")
         self._random = kernel.environment.random
         self._domain = kernel.settings.failure_domain
         self.on_free_slot: typing.Callable[[str], None] = lambda host: None
@@ -137,7 +170,12 @@
         load.service = report.service
         load.slots = max(1, report.slots)
         now_s = anyio.current_time()
-        load.estimate.record_report(report.running_requests, now_s)
+        load.estimate.record_report(
+            report.running_requests,
+            report.slots,
+            report.service_time_s,
+            now_s,
+        )
         load.service_time_s = report.service_time_s
         load.cold_allowance = report.cold_allowance
         load.queue_full = report.queue_full
@@ -160,16 +198,25 @@
     def record_offer(self, host: str, number: int) -> None:
         """Count an offer that the agent's latest report does not include."""
         load = self.load_by_host.get(host)
-        if load is not None:
-            load.estimate.record_offer(number, anyio.current_time())
+        if load is None:
+            return
+        now_s = anyio.current_time()
+        load.estimate.record_offer(number, now_s)
+        age_s = now_s - load.estimate.reported_s
+        if math.isfinite(age_s):
+            self._metrics.observe(REPORT_AGE, age_s)
 
-    def record_answer(
-        self, host: str, number: int, report: frames.Report
-    ) -> None:
+    def record_answer(self, message: frames.OfferAnswer, host: str) -> None:
         """Store the report in an agent's answer, which includes the offer."""
         load = self.load_by_host.get(host)
         if load is not None:
-            load.estimate.record_answer(number)
+            load.estimate.record_answer(message.opening)
+        report = message.report
+        if (
+            message.outcome != "taken"
+            and report.running_requests >= report.slots
+        ):
+            self._metrics.count(OFFERS_TO_FULL)
         self.record_report(report, host)
 
     def record_waiting(self, host: str) -> bool:
@@ -215,6 +262,7 @@
         now_s = anyio.current_time()
         score = SCORES.get("expected_time")
         ranked: list[tuple[int, float, str]] = []
+        requests_per_slot: list[float] = []
         for endpoint in candidates:
             host = endpoint.host
             if host in tried_hosts:
@@ -226,11 +274,18 @@
                 load.cold_allowance = -1
                 load.queue_full = False
                 load.slots = endpoint.slots
-            value = score(load, route, is_local, now_s)
-            value *= 1 + MAX_SCORE_JITTER * self._random.random()
+            requests_per_slot.append(
+                load.estimate.running_requests(now_s) / load.slots
+            )
+            spread = load.estimate.spread(now_s)
+            deviation = spread * (2 * self._random.random() - 1)
+            value = score(load, route, is_local, now_s, deviation)
             ranked.append(
                 (self._rank_class(load, now_s, is_late), value, host)
             )
+        if ranked:
+            load_spread = max(requests_per_slot) - min(requests_per_slot)
+            self._metrics.gauge(LOAD_SPREAD, round(load_spread, 2))
         ranked.sort()
         return [host for _, _, host in ranked[:MAX_OFFERED_HOSTS]]
 
@@ -267,10 +322,10 @@
                 self._load_for_host(
                     endpoint.host, endpoint.slots
                 ).service_time_s
-                or DEFAULT_SERVICE_TIME_S
+                or load_estimate.DEFAULT_SERVICE_TIME_S
                 for endpoint in candidates
             ),
-            default=DEFAULT_SERVICE_TIME_S,
+            default=load_estimate.DEFAULT_SERVICE_TIME_S,
         )
         return fastest_s <= latency_objective_s < age_s + fastest_s
 
@@ -293,4 +348,5 @@
             return 2
         # An agent without a free slot passes the opening on while the offer
         # lists another host, so asking it first only adds delay.
-        return int(load.estimate.running_requests(now_s) >= load.slots)
+        requests = load.estimate.running_requests(now_s)
+        return int(requests > load.slots - FULL_TOLERANCE)
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -286,7 +286,7 @@
     def _on_offer_answer(
         self, message: frames.OfferAnswer, _: bytes, host: str
     ) -> None:
-        self._loads.record_answer(host, message.opening, message.report)
+        self._loads.record_answer(message, host)
         opening = self._opening_by_offer.get(message.opening)
         if opening is None:
             return
--- a/tests/cover/test_stream_loads.py
+++ b/tests/cover/test_stream_loads.py
@@ -24,6 +24,7 @@
 
     def __init__(self, known_view):
         self.view = known_view
+        self.counted_names = []
 
     def get(self, name):
         return self
@@ -31,6 +32,16 @@
     def set_handler(self, message, handler):
         """Accept a handler; no frame arrives here."""
 
+    def count(self, name):
+        """Record a metric."""
+        self.counted_names.append(name)
+
+    def gauge(self, name, value):
+        """Ignore a metric."""
+
+    def observe(self, name, seconds):
+        """Ignore a metric."""
+
 
 def view_of_three(out=(), draining=()) -> view.View:
     """Return a view with one endpoint in each of the domains a, b, c."""
@@ -231,8 +242,34 @@
                 service.record_offer(LOCAL_HOST, number)
             service.record_report(report(LOCAL_HOST), LOCAL_HOST)
             for number in range(answers):
-                service.record_answer(LOCAL_HOST, number, report(LOCAL_HOST))
+                answer = frames.OfferAnswer(
+                    number, "taken", "", report(LOCAL_HOST)
+                )
+                service.record_answer(answer, LOCAL_HOST)
             await anyio.sleep(wait_s)
             return service.reports_no_capacity(LOCAL_HOST, is_late=True)
 
         self.assertEqual(is_full, virtual_network.run(main))
+
+    @parameterized.parameterized.expand(
+        [
+            ("passed on by a full agent", "passed", 5, 1),
+            ("refused by a full agent", "refused", 7, 1),
+            ("passed on for another reason", "passed", 4, 0),
+            ("taken by the agent's last slot", "taken", 5, 0),
+        ]
+    )
+    def test_wrong_choices_include_an_offer(
+        self, _, outcome, running_requests, count
+    ):
+        """Guards against operators who cannot see that reports mislead."""
+
+        async def main():
+            kernel = _Kernel(view_of_three())
+            answer = frames.OfferAnswer(
+                1, outcome, "", report(LOCAL_HOST, running_requests)
+            )
+            loads.AgentLoads(kernel).record_answer(answer, LOCAL_HOST)
+            return kernel.counted_names.count(loads.OFFERS_TO_FULL)
+
+        self.assertEqual(count, virtual_network.run(main))
