--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -6,6 +6,7 @@
 from bramleypin.internal.net import datagram
 from bramleypin.internal.observe import logs
 from bramleypin.internal.stream import agent_metrics
+from bramleypin.internal.stream import endpoint_flow
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
@@ -184,7 +185,7 @@
                 guard.call(self._metrics, self._check_half_open, entry, now_s)
 
     def _check_half_open(
-        self, entry: endpoint_flows.EndpointFlow, now_s: float
+        self, entry: endpoint_flow.EndpointFlow, now_s: float
     ) -> None:
         age_s = now_s - entry.offered_s
         if entry.offer is not None and age_s > ENDPOINT_TIMEOUT_S:
@@ -195,7 +196,7 @@
             self.flows.end_request(entry, answered=False)
             self.flows.half_open_by_key.pop(entry.flow)
 
-    def _on_opening_failed(self, entry: endpoint_flows.EndpointFlow) -> None:
+    def _on_opening_failed(self, entry: endpoint_flow.EndpointFlow) -> None:
         """Pass on an opening that the endpoint left unanswered or returned."""
         self._unanswered_openings += 1
         if self._unanswered_openings == MAX_UNANSWERED_OPENINGS:
@@ -256,7 +257,7 @@
         self._peers.send(host, frames.FlowNotHeld(self.settings.host), data)
 
     def _forward_to_endpoint(
-        self, entry: endpoint_flows.EndpointFlow, packet: segment.Segment
+        self, entry: endpoint_flow.EndpointFlow, packet: segment.Segment
     ) -> None:
         entry.seen_s = anyio.current_time()
         if not packet.opening and not entry.established:
@@ -327,7 +328,7 @@
         self._peers.send_raw(data, entry.caller_address)
 
     def _on_unverified_reset(
-        self, entry: endpoint_flows.EndpointFlow | None
+        self, entry: endpoint_flow.EndpointFlow | None
     ) -> None:
         """Keep a reset from the caller if another endpoint may hold the flow.
 
@@ -340,7 +341,7 @@
             self._return_flow(entry, entry.tried_packets)
 
     def _return_flow(
-        self, entry: endpoint_flows.EndpointFlow, packets: list[bytes]
+        self, entry: endpoint_flow.EndpointFlow, packets: list[bytes]
     ) -> None:
         """Return packets of a flow that the endpoint does not hold."""
         self.flows.forget(entry)
--- a/tests/cover/test_stream_loads.py
+++ b/tests/cover/test_stream_loads.py
@@ -26,6 +26,7 @@
 
     def __init__(self, known_view):
         self.view = known_view
+        self.counted_names = []
 
     def get(self, name):
         return self
@@ -33,8 +34,15 @@
     def set_handler(self, message, handler):
         """Accept a handler; no frame arrives here."""
 
-    def count(self, metric):
-        """Accept a count; no test reads it."""
+    def count(self, name):
+        """Record a metric."""
+        self.counted_names.append(name)
+
+    def gauge(self, name, value):
+        """Ignore a metric."""
+
+    def observe(self, name, seconds):
+        """Ignore a metric."""
 
 
 def view_of_three(out=(), draining=()) -> view.View:
@@ -99,8 +107,8 @@
         service = loads.AgentLoads(_Kernel(view_ or view_of_three()))
         for item in reports:
             service.record_report(item, item.host)
-        for host in offers:
-            service.count_offer(host)
+        for number, host in enumerate(offers):
+            service.record_offer(host, number)
         for host in unresponsive:
             service.mark_unresponsive(host)
         await anyio.sleep(wait_s)
@@ -257,3 +265,59 @@
             return dict(service.load_by_host)
 
         self.assertEqual({}, virtual_network.run(main))
+
+    @parameterized.parameterized.expand(
+        [
+            ("a report sent before they arrived", 0, 0.0, True),
+            ("the answer to one of them", 1, 0.0, False),
+            ("the answers to all of them", 5, 0.0, False),
+            ("the time-out of all of them", 0, 0.07, False),
+        ]
+    )
+    def test_own_offers_fill_an_endpoint_after(
+        self, _, answers, wait_s, is_full
+    ):
+        """Guards against offers that a report can neither show nor end.
+
+        Five offers fill the five slots of the endpoint, whose reports show
+        none of them.
+        """
+
+        async def main():
+            service = loads.AgentLoads(_Kernel(view_of_three()))
+            service.record_report(report(LOCAL_HOST), LOCAL_HOST)
+            for number in range(5):
+                service.record_offer(LOCAL_HOST, number)
+            service.record_report(report(LOCAL_HOST), LOCAL_HOST)
+            for number in range(answers):
+                answer = frames.OfferAnswer(
+                    number, "taken", "", report(LOCAL_HOST)
+                )
+                service.record_answer(answer, LOCAL_HOST)
+            await anyio.sleep(wait_s)
+            return service.reports_no_capacity(LOCAL_HOST, is_late=True)
+
+        self.assertEqual(is_full, virtual_network.run(main))
+
+    @parameterized.parameterized.expand(
+        [
+            ("passed on by a full agent", "passed", 5, 1),
+            ("refused by a full agent", "refused", 7, 1),
+            ("passed on for another reason", "passed", 4, 0),
+            ("taken by the agent's last slot", "taken", 5, 0),
+        ]
+    )
+    def test_wrong_choices_include_an_offer(
+        self, _, outcome, running_requests, count
+    ):
+        """Guards against operators who cannot see that reports mislead."""
+
+        async def main():
+            kernel = _Kernel(view_of_three())
+            answer = frames.OfferAnswer(
+                1, outcome, "", report(LOCAL_HOST, running_requests)
+            )
+            loads.AgentLoads(kernel).record_answer(answer, LOCAL_HOST)
+            return kernel.counted_names.count(loads.OFFERS_TO_FULL)
+
+        self.assertEqual(count, virtual_network.run(main))
--- a/tests/failures/test_reused_ports.py
+++ b/tests/failures/test_reused_ports.py
@@ -7,6 +7,7 @@
 import parameterized
 
 from bramleypin.internal.stream import agent
+from bramleypin.internal.stream import endpoint_flow
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import segment
@@ -428,7 +429,7 @@
 
 def add_tried_flow(
     flows: endpoint_flows.EndpointFlows, packet
-) -> endpoint_flows.EndpointFlow:
+) -> endpoint_flow.EndpointFlow:
     """Add a flow whose packet was given to the endpoint."""
     entry = flows.add(KEY)
     entry.established = True
