Stop asking peers for views while relays confirm the own one

Cause: a daemon whose last call of the store failed is marked as failing until its next call. While relays confirm its view it makes none, so it asked other daemons for their views four times a second for as long as relays confirmed, though the store had returned. Change: the reader clears the mark when it begins to wait for relays that confirm its view. Ruled out: a newer revision that a peer had announced; all views had the store's revision, and the answers counted as "not newer". Without the changed line the test fails.

--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -118,6 +118,10 @@
         retry_s = MIN_RETRY_S
         outage_started_s: float | None = None
         while True:
+            if self._relay.confirmed_for_s() > 0:
+                # Relays reach the store. The result of this daemon's own last
+                # call may be old, as it makes none while they confirm.
+                self.store_failing = False
             await self._relay.wait_until_unconfirmed()
             # An unanswered request fails long after the outage began, so
             # the outage is measured from the start of the request.
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -272,6 +272,50 @@
         # Without relays, each of the 9 daemons would make 40 calls.
         self.assertLess(calls_of_9, 9 * 40 / 2)
 
+    def test_a_follower_that_relays_confirm_asks_no_daemon_for_its_view(self):
+        """Guards against requests that go on after the store has returned.
+
+        A follower's own last call of the store failed, and relays confirm its
+        view before its next one.
+        """
+
+        async def scenario(fleet):
+            await start_fleet(fleet)
+            followers = [
+                daemon
+                for daemon in daemons(fleet)
+                if daemon.settings.host not in relay_hosts(fleet)
+            ]
+            fleet.store.refused_hosts |= {d.settings.host for d in followers}
+            for name in list(fleet.agent_by_name):
+                fleet.store.put(fleet.registration(name, cold_s=9.0))
+            fleet.network.add_rule(
+                virtual_network.Rule(
+                    lambda packet: packet.source.host in relay_hosts(fleet)
+                    and anyio.current_time() < 14.0,
+                    loss=1.0,
+                )
+            )
+            await anyio.sleep(6.0)
+            fleet.store.refused_hosts.clear()
+            await anyio.sleep(5.0)
+
+            def asked():
+                return sum(
+                    daemon.kernel.get("metrics").count_by_name.get(
+                        "stream.views_not_newer", 0
+                    )
+                    for daemon in daemons(fleet)
+                )
+
+            asked_before = asked()
+            await anyio.sleep(5.0)
+            return asked_before, asked() - asked_before
+
+        asked_before, asked_after = test_stream_flows.run_scenario(scenario)
+        self.assertGreater(asked_before, 0)
+        self.assertEqual(0, asked_after)
+
     def test_an_idle_fleet_sends_only_queries_and_answers(self):
         """Guards against relays that resend the same change forever."""
 
