--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -150,6 +150,17 @@
     """Raised when the metadata store has discarded the requested changes."""
 
 
+class PlatformRestored(PlatformHistoryLost):
+    """Raised when answers show that the store is restored from a copy.
+
+    What was read before, and revisions of an earlier era, do not hold.
+    """
+
+
+class PlatformEraOutdated(PlatformUnavailable):
+    """Raised when an answer of the store is of an era before a known one."""
+
+
 class PlatformKeyMissing(BramleypinError):
     """Raised when the configuration service has no value for a key."""
 
--- a/src/bramleypin/internal/net/http_client.py
+++ b/src/bramleypin/internal/net/http_client.py
@@ -36,8 +36,12 @@
         if stream is not None:
             await anyio.aclose_forcefully(stream)
 
-    async def get(self, target: str, timeout_s: float) -> tuple[int, bytes]:
-        """Send a GET request; return the status and body of the response.
+    async def get(
+        self, target: str, timeout_s: float
+    ) -> tuple[int, dict[bytes, bytes], bytes]:
+        """Send a GET request; return the response's status, headers and body.
+
+        The names of headers are in lower case.
 
         ``timeout_s`` applies to the first data. After that, each part of the
         response must arrive within ``READ_TIMEOUT_S`` of the previous one,
@@ -72,7 +76,7 @@
 
     async def _exchange(
         self, target: str, scope: anyio.CancelScope, end_s: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, dict[bytes, bytes], bytes]:
         def on_data() -> None:
             self.receiving = True
             read_end_s = anyio.current_time() + READ_TIMEOUT_S
@@ -87,11 +91,11 @@
         request = h11.Request(method="GET", target=target, headers=headers)
         data = connection.send(request) + connection.send(h11.EndOfMessage())
         await stream.send(data)
-        status, _, body = await http_response.read(
+        status, headers, body = await http_response.read(
             connection, stream, self._max_body_bytes, on_data
         )
         if connection.our_state is h11.DONE is connection.their_state:
             connection.start_next_cycle()
         else:
             await self.aclose()
-        return status, body
+        return status, headers, body
--- a/src/bramleypin/internal/net/http_server.py
+++ b/src/bramleypin/internal/net/http_server.py
@@ -19,11 +19,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """The status, body and content type of an HTTP response."""
+    """The status, body, content type and more headers of a response."""
 
     status: int
     body: bytes = b""
     content_type: str = "text/plain; charset=utf-8"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 PageHandler = typing.Callable[
@@ -84,7 +85,7 @@
         answer = self._page(path)
         if inspect.isawaitable(answer):
             answer = await answer
-        headers = [("Content-Length", str(len(answer.body)))]
+        headers = [("Content-Length", str(len(answer.body))), *answer.headers]
         if answer.body:
             headers.append(("Content-Type", answer.content_type))
         response = h11.Response(status_code=answer.status, headers=headers)
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -159,6 +159,7 @@
                 [*offer.tried_hosts, self.settings.host],
                 remaining_hosts[1:],
                 offer.is_late,
+                offer.era,
             ),
             data,
         )
@@ -289,6 +290,7 @@
                 answer,
                 self._views.view.revision,
                 round(self.flows.uptime_s(), 3),
+                self._views.view.era,
             ),
         )
 
--- a/src/bramleypin/internal/stream/exchange.py
+++ b/src/bramleypin/internal/stream/exchange.py
@@ -39,10 +39,11 @@
 
 
 class ViewRequest(msgspec.Struct, array_like=True):
-    """The revision and version of the requesting daemon's view."""
+    """The revision, version and era of the requesting daemon's view."""
 
     revision: int
     version: int
+    era: frames.Era = 0
 
 
 class ViewAnswer(msgspec.Struct, array_like=True):
@@ -63,6 +64,7 @@
     endpoints: list[view_module.Endpoint]
     domains_out: list[str]
     lapsed_ids: list[str]
+    era: frames.Era = 0
 
 
 def build_answer(
@@ -90,6 +92,7 @@
         endpoints,
         sorted(view.domains_out),
         list(lapsed_ids),
+        view.era,
     )
 
 
@@ -123,6 +126,7 @@
             for endpoint in answer.endpoints
         },
         frozenset(answer.domains_out),
+        answer.era,
     )
 
 
@@ -168,7 +172,7 @@
                 request = frames.decode_body(data, ViewRequest)
                 view = self._view_manager.view
                 body = NO_NEWER_VIEW
-                if view.revision > request.revision:
+                if view.stamp > (request.era, request.revision):
                     lapsed_ids = self._view_manager.lapsed_ids()
                     now_s = anyio.current_time()
                     answer = build_answer(request, view, now_s, lapsed_ids)
@@ -188,8 +192,7 @@
         delivered a newer revision, or any answer, within the grace time.
         """
         now_s = anyio.current_time()
-        newest_revision = self._peers.newest_revision
-        is_behind = newest_revision > self._view_manager.view.revision
+        is_behind = self._peers.newest > self._view_manager.view.stamp
         if not is_behind and not self._reader.store_failing:
             self._outdated_since_s = None
             return ""
@@ -206,7 +209,7 @@
     async def _fetch(self, host: str) -> None:
         own_view = self._view_manager.view
         request = ViewRequest(
-            own_view.revision, own_view.configuration.version
+            own_view.revision, own_view.configuration.version, own_view.era
         )
         peer_address = address.Address(host, self.kernel.settings.peers.port)
         try:
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -16,6 +16,10 @@
 
 _PREFIX = struct.Struct(">BH")
 MAX_FRAME_BYTES = 4_096
+# Stamp of a message that does not include the sender's view.
+NO_STAMP = (0, -1)
+# The store's era; frames of senders that know none lack it.
+Era = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 T = typing.TypeVar("T", bound=type)
 Body = typing.TypeVar("Body", bound=msgspec.Struct)
@@ -24,9 +28,12 @@
 class Message(msgspec.Struct, array_like=True):
     """Base class of messages; fields are sent in declaration order."""
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view; -1 if not included."""
-        return -1
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view.
+
+        The revision is -1 if the message does not include it.
+        """
+        return NO_STAMP
 
 
 MESSAGE_BY_KIND: dict[int, type[Message]] = {}
@@ -53,8 +60,8 @@
     accepts no further request. ``cold_allowance`` is the number of requests
     that a cold endpoint may still accept now, or -1 when it is not cold.
     ``state`` is ``ready``, ``leaving`` (no new flows) or ``silent`` (the
-    endpoint does not answer). ``revision`` is the revision of the agent's
-    view.
+    endpoint does not answer). ``revision`` and ``era`` are those of the
+    agent's view.
     """
 
     host: str
@@ -66,6 +73,7 @@
     cold_allowance: int
     state: str
     revision: int
+    era: Era = 0
 
 
 @message(1)
@@ -74,9 +82,9 @@
 
     ``opening`` is the number of the offer; the answer repeats it and goes to
     ``origin_host``. ``tried_hosts`` were offered the opening before,
-    ``fallback_hosts`` are asked next, in this order. ``service``, ``version``
-    and ``revision`` are those of the sender's view. ``is_late`` marks a
-    request that can no longer be answered within its latency objective.
+    ``fallback_hosts`` are asked next, in this order. ``service``, ``version``,
+    ``revision`` and ``era`` are those of the sender's view. ``is_late`` marks
+    a request that can no longer be answered within its latency objective.
     """
 
     opening: int
@@ -87,10 +95,11 @@
     tried_hosts: list[str]
     fallback_hosts: list[str]
     is_late: bool = False
+    era: Era = 0
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.era, self.revision
 
 
 @message(2)
@@ -107,9 +116,9 @@
     reason: str
     report: Report
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.report.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.report.era, self.report.revision
 
 
 @message(3)
@@ -154,8 +163,8 @@
     """The answer to a ``Lookup``: ``holds``, ``maybe`` or ``no``.
 
     A recently started agent answers ``maybe``, because its endpoint may hold
-    a flow from before the start. ``revision`` is that of the agent's view,
-    ``uptime_s`` the time since the agent started.
+    a flow from before the start. ``revision`` and ``era`` are those of the
+    agent's view, ``uptime_s`` is the time since the agent started.
     """
 
     lookup: int
@@ -163,10 +172,11 @@
     answer: str
     revision: int
     uptime_s: float
+    era: Era = 0
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.era, self.revision
 
 
 @message(7)
@@ -175,9 +185,9 @@
 
     report: Report
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.report.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.report.era, self.report.revision
 
 
 @message(11)
--- a/src/bramleypin/internal/stream/lost_flows.py
+++ b/src/bramleypin/internal/stream/lost_flows.py
@@ -90,7 +90,7 @@
     ) -> float:
         """Return the time until a reset may be allowed; 0 if it is now."""
         view_manager = self._view_manager
-        if search.newest_revision > view_manager.view.revision:
+        if search.newest > view_manager.view.stamp:
             return NEWER_VIEW_DELAY_S
         configuration = view_manager.view.configuration
         route = configuration.route_by_address.get(packet.destination)
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -221,6 +221,7 @@
                 # a free slot. Passing it on would only cause more refusals.
                 [] if is_late else hosts[1:],
                 is_late,
+                view.era,
             ),
             opening.packet.raw,
         )
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -62,7 +62,7 @@
     ``possible_hosts`` cannot rule out that they hold the flow.
     ``caller_position``, ``acknowledged`` and ``opening_sequence`` are those of
     the first packet.
-    ``newest_revision`` is the highest revision of the answering agents' views,
+    ``newest`` is the highest era and revision of the answering agents' views,
     ``longest_uptime_s`` the time since the first of these agents started.
     """
 
@@ -76,7 +76,7 @@
     candidate_hosts: frozenset[str] = frozenset()
     possible_hosts: list[str] = dataclasses.field(default_factory=list)
     answer_count: int = 0
-    newest_revision: int = -1
+    newest: tuple[int, int] = frames.NO_STAMP
     longest_uptime_s: float = 0.0
     caller_position: int = 0
     acknowledged: int = 0
@@ -219,7 +219,7 @@
             self._metrics.count(LOOKUPS_FOUND)
             self.on_found(search, host)
             return
-        search.newest_revision = max(search.newest_revision, message.revision)
+        search.newest = max(search.newest, message.view_stamp())
         search.longest_uptime_s = max(
             search.longest_uptime_s, message.uptime_s
         )
--- a/src/bramleypin/internal/stream/peer_port.py
+++ b/src/bramleypin/internal/stream/peer_port.py
@@ -55,17 +55,20 @@
     """Sends frames and dispatches received ones to registered handlers.
 
     A handler is called with the message, the packet that follows it and the
-    sender's host. ``newest_revision`` is the highest view revision that a
-    peer has announced, and ``newest_host`` is that peer.
+    sender's host. ``newest`` is the highest era and revision of a view that a
+    peer has announced, and ``newest_host`` is that peer. ``on_newer_era`` is
+    called when the era of ``newest`` rises.
     """
 
+    newest: tuple[int, int] = frames.NO_STAMP
+
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self._handler_by_message: dict[type, Handler] = {}
         self._metrics = kernel.get("metrics")
         self._port_number = kernel.settings.peers.port
-        self.newest_revision = -1
         self.newest_host = ""
+        self.on_newer_era: typing.Callable[[], None] = lambda: None
         self._recent_peers = recent_hosts.RecentHosts(RECENT_PEER_S)
 
     async def start(self) -> None:
@@ -132,16 +135,22 @@
             )
             return
         self._metrics.count(FRAMES_RECEIVED)
-        revision = message.view_revision()
-        if revision >= 0:
+        stamp = message.view_stamp()
+        if stamp[1] >= 0:
             self._recent_peers.record(sender_host)
-            if revision > self.newest_revision:
-                self.newest_revision = revision
-                self.newest_host = sender_host
+            self._record_stamp(stamp, sender_host)
         handler = self._handler_by_message.get(type(message))
         if handler is not None:
             guard.call(self._metrics, handler, message, packet, sender_host)
 
+    def _record_stamp(self, stamp: tuple[int, int], host: str) -> None:
+        if stamp <= self.newest:
+            return
+        has_newer_era = stamp[0] > self.newest[0]
+        self.newest, self.newest_host = stamp, host
+        if has_newer_era:
+            self.on_newer_era()
+
     def recent_peer_hosts(self) -> list[str]:
         """Return the hosts that announced a view recently, newest first."""
         return self._recent_peers.newest_first()
@@ -150,7 +159,7 @@
         """Discard the state of a daemon that cannot be reached."""
         self._recent_peers.forget(host)
         if host == self.newest_host:
-            self.newest_revision, self.newest_host = -1, ""
+            self.newest, self.newest_host = frames.NO_STAMP, ""
 
     async def stop(self) -> None:
         """Close the UDP port."""
--- a/src/bramleypin/internal/stream/relay.py
+++ b/src/bramleypin/internal/stream/relay.py
@@ -54,32 +54,34 @@
     """Asks a relay whether the sender's view is current."""
 
     revision: int
+    era: frames.Era = 0
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.era, self.revision
 
 
 @frames.message(9)
 class RelayAnswer(frames.Message):
-    """A relay's answer: the revision of its view.
+    """A relay's answer: the revision and era of its view.
 
     ``confirmed`` is true if the store has recently confirmed that revision.
     """
 
     revision: int
     confirmed: bool
+    era: frames.Era = 0
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.era, self.revision
 
 
 @dataclasses.dataclass(slots=True)
 class _RelayState:
     """The latest answer of a relay."""
 
-    revision: int
+    stamp: tuple[int, int]
     confirmed: bool
     answered_s: float
 
@@ -154,23 +156,26 @@
 
     def _is_view_confirmed(self) -> bool:
         age_s = anyio.current_time() - self._store_answered_s
-        return self._view_manager.view.loaded and age_s < self._confirmation_s
+        view = self._view_manager.view
+        is_era_current = self._peers.newest[0] <= view.era
+        return view.loaded and is_era_current and age_s < self._confirmation_s
 
     def confirmed_for_s(self) -> float:
         """Return the remaining time for which relays confirm the view.
 
-        The result is in seconds. It is 0 if no relay confirms the view and for
-        daemons with followers, which have to watch the store themselves.
+        The result is in seconds. It is 0 if no relay confirms the view, if
+        another daemon has announced a newer era of the store, and for daemons
+        with followers, which have to watch the store themselves.
         """
-        if self.has_followers():
+        view = self._view_manager.view
+        if self.has_followers() or self._peers.newest[0] > view.era:
             return 0.0
         now_s = anyio.current_time()
         valid_s = ANSWER_VALID_INTERVALS * self._query_interval_s
-        view = self._view_manager.view
         left_s = (
             relay.answered_s + valid_s - now_s
             for relay in self._relay_by_host.values()
-            if relay.confirmed and relay.revision == view.revision
+            if relay.confirmed and relay.stamp == view.stamp
         )
         return max(0.0, max(left_s, default=0.0))
 
@@ -180,6 +185,10 @@
             self._unconfirmed_s = anyio.current_time()
         return self._unconfirmed_s
 
+    def check_confirmation(self) -> None:
+        """Let ``wait_until_unconfirmed`` check again."""
+        self._confirmation_changed.set()
+
     async def wait_until_unconfirmed(self) -> None:
         """Wait until no relay confirms that the view is current."""
         while (left_s := self.confirmed_for_s()) > 0:
@@ -211,7 +220,7 @@
             if host in hosts
         }
         for host in hosts:
-            self._peers.send(host, RelayQuery(view.revision))
+            self._peers.send(host, RelayQuery(view.revision, view.era))
 
     async def _announce_changes(self) -> None:
         while True:
@@ -240,14 +249,15 @@
         for delta in deltas:
             self._peers.send_to_all(hosts, delta)
         if not deltas:
-            # The change does not fit into a frame. Send only the new revision
-            # number, so that the followers read the store.
+            # The change does not fit into a frame, or begins a new era. Send
+            # only the new revision, so that the followers read the store.
             self._send_answer(hosts)
 
     def _send_answer(self, hosts: typing.Iterable[str]) -> None:
-        revision = self._view_manager.view.revision
+        view = self._view_manager.view
         self._peers.send_to_all(
-            hosts, RelayAnswer(revision, self._is_view_confirmed())
+            hosts,
+            RelayAnswer(view.revision, self._is_view_confirmed(), view.era),
         )
 
     def _on_query(self, message: RelayQuery, _: bytes, host: str) -> None:
@@ -272,10 +282,10 @@
         if not message.confirmed:
             self._unconfirmed_s = now_s
         self._relay_by_host[host] = _RelayState(
-            message.revision, message.confirmed, now_s
+            message.view_stamp(), message.confirmed, now_s
         )
         if (
-            message.revision != self._view_manager.view.revision
+            message.view_stamp() != self._view_manager.view.stamp
             or not message.confirmed
         ):
             self._confirmation_changed.set()
@@ -287,8 +297,9 @@
         if relay is None:
             return
         view = self._view_manager.view
-        relay.revision = message.revision
-        if message.revision <= view.revision and message.base != view.revision:
+        relay.stamp = message.view_stamp()
+        base = (message.era, message.base)
+        if relay.stamp <= view.stamp and base != view.stamp:
             # Already received from the other relay or from the store.
             self._confirmation_changed.set()
             return
--- a/src/bramleypin/internal/stream/reports.py
+++ b/src/bramleypin/internal/stream/reports.py
@@ -90,6 +90,7 @@
             self._admission.cold_allowance(),
             self._admission.state(),
             self._view_manager.view.revision,
+            self._view_manager.view.era,
         )
 
     async def run(self) -> None:
--- a/src/bramleypin/internal/stream/stream_admission.py
+++ b/src/bramleypin/internal/stream/stream_admission.py
@@ -196,20 +196,20 @@
 ) -> bool:
     # A balancer with a newer view may already know the registration, so its
     # offer is not refused for a registration that this view lacks.
-    offer_is_not_newer = request.offer.revision <= admission.view.revision
+    offer_is_not_newer = request.offer.view_stamp() <= admission.view.stamp
     return admission.endpoint() is None and offer_is_not_newer
 
 
 @CHECKS.register("draining")
 def _draining(admission: StreamAdmission, request: AdmissionRequest) -> bool:
     endpoint = admission.endpoint()
-    return endpoint is not None and endpoint.draining
+    return endpoint is not None and admission.view.is_draining(endpoint)
 
 
 @CHECKS.register("failure domain out")
 def _domain_out(admission: StreamAdmission, request: AdmissionRequest) -> bool:
     domain = admission.settings.failure_domain
-    return domain in admission.view.domains_out
+    return admission.view.is_out(domain)
 
 
 @CHECKS.register("silent")
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -78,7 +78,8 @@
     ``revision`` is the store revision of its latest registration, ``created``
     that of its first one. ``cold_s`` is the remaining cold time at ``seen_s``,
     when this process received the registration (monotonic clock).
-    ``started_ms`` is the start time in Unix milliseconds.
+    ``started_ms`` is the start time in Unix milliseconds, ``era`` the store's
+    era when it listed or announced the registration.
     """
 
     id: str
@@ -92,6 +93,12 @@
     created: int
     cold_s: float
     seen_s: float
+    era: int = 0
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """The store's era and revision, by which registrations are ordered."""
+        return self.era, self.revision
 
     def remaining_cold_s(self, now_s: float) -> float:
         """Return the remaining cold time in seconds."""
@@ -149,12 +156,19 @@
     """An immutable snapshot of the metadata store at one revision.
 
     ``domains_out`` are the failure domains that are out of service.
+    ``era`` rises when the store is restored from an older copy.
+    ``draining_kept`` and ``domains_kept`` are endpoints and failure domains
+    that were draining and out of service before the latest restoration; they
+    are kept so for a time though the store does not say it.
     """
 
     revision: int
     configuration: Configuration
     endpoint_by_id: dict[str, Endpoint]
     domains_out: frozenset[str]
+    era: int = 0
+    draining_kept: frozenset[str] = frozenset()
+    domains_kept: frozenset[str] = frozenset()
     _endpoint_by_host_by_service: dict[str, dict[str, Endpoint]] = (
         dataclasses.field(
             default_factory=dict, init=False, repr=False, compare=False
@@ -177,12 +191,28 @@
             cached = frozenset(
                 host
                 for host, endpoint in self.endpoint_by_host(service).items()
-                if endpoint.draining
-                or endpoint.failure_domain in self.domains_out
+                if self.is_draining(endpoint)
+                or self.is_out(endpoint.failure_domain)
             )
             self._ineligible_hosts_by_service[service] = cached
         return cached
 
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """The store's era and revision, by which views are ordered."""
+        return self.era, self.revision
+
+    def is_draining(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint of the view is draining."""
+        return endpoint.draining or endpoint.id in self.draining_kept
+
+    def is_out(self, failure_domain: str) -> bool:
+        """Return whether a failure domain is out of service."""
+        return (
+            failure_domain in self.domains_out
+            or failure_domain in self.domains_kept
+        )
+
     @property
     def hosts(self) -> dict[str, None]:
         """The hosts of all endpoints, in the order of registration."""
@@ -219,8 +249,9 @@
 
 
 def _is_newer(endpoint: Endpoint, other: Endpoint) -> bool:
-    return (endpoint.started_ms, endpoint.created) > (
+    return (endpoint.started_ms, endpoint.era, endpoint.created) > (
         other.started_ms,
+        other.era,
         other.created,
     )
 
@@ -237,7 +268,8 @@
     ``domains_out`` and ``domains_returned`` the failure domains that were
     taken out of service and returned to it. ``lapsed_ids`` are endpoints whose
     registrations ended in an outage, so that they may come back.
-    ``skipped_count`` is the number of entries that could not be decoded.
+    ``skipped_count`` is the number of entries that could not be decoded,
+    ``invalid_era_count`` that of answers whose era could not be read.
     """
 
     revision: int
@@ -249,6 +281,13 @@
     complete: bool = False
     skipped_count: int = 0
     lapsed_ids: tuple[str, ...] = ()
+    era: int = 0
+    invalid_era_count: int = 0
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """The store's era and revision up to which the changes reach."""
+        return self.era, self.revision
 
     @property
     def empty(self) -> bool:
@@ -281,7 +320,7 @@
 
         :raises errors.PlatformUnavailable: when the store does not answer.
         :raises errors.PlatformHistoryLost: when the store has discarded the
-            changes after a stale listing.
+            changes after a stale listing, or is restored meanwhile.
         """
 
     async def watch(self, after: int, wait_s: float) -> Changes:
--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -30,6 +30,7 @@
     revision: int
     created: int
     cold_s: float
+    era: frames.Era = 0
 
 
 class RouteRecord(msgspec.Struct, array_like=True):
@@ -71,7 +72,7 @@
 class ViewDelta(frames.Message):
     """The difference between two revisions of a view.
 
-    It applies only to a view of exactly the revision ``base`` with
+    It applies only to a view of exactly the revision ``base`` of ``era`` with
     configuration ``version``. ``domains_out`` lists all failure domains that
     are out of service. ``lapsed_ids`` are endpoints that will be removed
     unless they register again.
@@ -85,10 +86,11 @@
     domains_out: list[str]
     lapsed_ids: list[str]
     configuration: ConfigurationChange | None = None
+    era: frames.Era = 0
 
-    def view_revision(self) -> int:
-        """Return the revision of the sender's view."""
-        return self.revision
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.era, self.revision
 
 
 def _endpoint_record(
@@ -105,6 +107,7 @@
         endpoint.revision,
         endpoint.created,
         round(endpoint.remaining_cold_s(now_s), 3),
+        endpoint.era,
     )
 
 
@@ -123,6 +126,7 @@
         created=record.created,
         cold_s=record.cold_s,
         seen_s=now_s,
+        era=record.era,
     )
 
 
@@ -188,13 +192,18 @@
     so a daemon that misses a later delta still has every change up to the
     revision it has reached. Each delta holds all removals, since a daemon that
     has read the store up to a revision in between skips the first ones. The
-    list is empty if one of them does not fit a frame.
+    list is empty if one of them does not fit a frame, or if the store was
+    restored in between: a follower then has to read it.
     """
+    if old.era != new.era:
+        return []
     changed_endpoints = sorted(
         (
             endpoint
             for id_, endpoint in new.endpoint_by_id.items()
+            # Those of an earlier era are only kept until they are due.
             if old.endpoint_by_id.get(id_) is not endpoint
+            and endpoint.era == new.era
         ),
         key=lambda endpoint: endpoint.revision,
     )
@@ -220,6 +229,7 @@
                 domains_out,
                 lapsed_ids,
                 change,
+                new.era,
             )
         )
     for start in range(0, max(1, len(changed_endpoints)), ENDPOINTS_PER_FRAME):
@@ -238,6 +248,7 @@
                 removed_ids,
                 domains_out,
                 lapsed_ids,
+                era=new.era,
             )
         )
         base = revision
@@ -258,6 +269,8 @@
     because this daemon has watched the store itself.
     """
     version = view.configuration.version
+    if delta.era != view.era:
+        return None
     if delta.base > view.revision or delta.version != version:
         return None
     change = delta.configuration
@@ -275,4 +288,5 @@
         domains_out=tuple(set(delta.domains_out) - view.domains_out),
         domains_returned=tuple(view.domains_out - set(delta.domains_out)),
         lapsed_ids=tuple(delta.lapsed_ids),
+        era=delta.era,
     )
--- a/src/bramleypin/internal/stream/view_manager.py
+++ b/src/bramleypin/internal/stream/view_manager.py
@@ -9,8 +9,18 @@
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
+from bramleypin.internal.stream import store_era
 from bramleypin.internal.stream import view as view_module
 
+VIEW_ERA = metrics.declare(
+    "view.era", "gauge", "era", "Era of the store that the view shows."
+)
+VIEW_RESTORATIONS = metrics.declare(
+    "view.restorations",
+    "counter",
+    "restorations",
+    "Restorations of the store from an older copy that the view followed.",
+)
 VIEW_REVISION = metrics.declare(
     "view.revision", "gauge", "revision", "Revision of the view in force."
 )
@@ -24,18 +34,20 @@
 class _LapsedRegistration:
     """A registration that has lapsed, with the time of its removal.
 
-    ``revision`` is the store revision of the lapsed registration.
+    ``stamp`` is that of the lapsed registration.
     """
 
     removal_s: float
-    revision: int
+    stamp: tuple[int, int]
 
 
 @kernel_module.service(
     "view", roles=("stream_balancer", "stream_agent"), needs=("metrics",)
 )
 class ViewManager(kernel_module.Service):
-    """Holds the newest view; its revision never decreases.
+    """Holds the newest view; its era and revision never decrease.
+
+    The revision starts again with a new era of the store.
 
     Registrations that lapsed in an outage of the store are kept for the time
     that a live endpoint needs to register again, ``bounds.reregistration_s``.
@@ -50,6 +62,9 @@
         self._view_changed = anyio.Event()
         self._lapsed_by_id: dict[str, _LapsedRegistration] = {}
         self._no_removal_until_s = float("-inf")
+        # Endpoints that only the latest restoration brought into the view.
+        self._ids_of_copy: set[str] = set()
+        self._kept = store_era.NOTHING_KEPT
         self._listing_incomplete_until_s = float("-inf")
         self._old_versions: list[tuple[float, view_module.Configuration]] = []
 
@@ -75,10 +90,15 @@
         """Merge changes from the store or from a relay into the view."""
         old_view = self.view
         now_s = anyio.current_time()
-        if changes.revision < old_view.revision:
+        if changes.stamp < old_view.stamp:
             return
-        if changes.empty and changes.revision == old_view.revision:
+        if changes.empty and changes.stamp == old_view.stamp:
             return
+        is_restored = self._is_restored(changes.era)
+        if is_restored:
+            if not changes.complete:
+                return
+            self._begin_era(changes.era, changes.revision)
         endpoint_by_id = dict(old_view.endpoint_by_id)
         removed_ids = set(changes.removed_ids)
         if changes.complete:
@@ -87,11 +107,17 @@
         for endpoint in changes.endpoints:
             old = endpoint_by_id.get(endpoint.id)
             self._lapsed_by_id.pop(endpoint.id, None)
-            if old is None or old.revision < endpoint.revision:
+            if old is None or old.stamp < endpoint.stamp:
+                self._ids_of_copy.discard(endpoint.id)
                 endpoint_by_id[endpoint.id] = endpoint
                 self._log_endpoint(endpoint, old)
         for id_ in removed_ids & endpoint_by_id.keys():
-            if now_s < self._no_removal_until_s:
+            if changes.complete and self._is_removal_due_later(id_, now_s):
+                continue
+            if (
+                now_s < self._no_removal_until_s
+                and id_ not in self._ids_of_copy
+            ):
                 self._record_lapsed(
                     endpoint_by_id[id_], self._no_removal_until_s
                 )
@@ -107,16 +133,45 @@
         domains_out = set(() if changes.complete else old_view.domains_out)
         domains_out |= set(changes.domains_out)
         domains_out -= set(changes.domains_returned)
-        self._install(
-            view_module.View(
-                max(old_view.revision, changes.revision),
-                self._newer_configuration(changes),
-                endpoint_by_id,
-                frozenset(domains_out),
-            )
+        new_view = view_module.View(
+            changes.revision,
+            self._newer_configuration(changes),
+            endpoint_by_id,
+            frozenset(domains_out),
+            changes.era,
         )
+        if is_restored:
+            self._ids_of_copy = endpoint_by_id.keys() - old_view.endpoint_by_id
+            self._kept = store_era.states_to_keep(old_view, new_view)
+        self._kept = self._kept.without_domains(changes.domains_returned)
+        self._install(new_view)
         self._record_lapsed_elsewhere(changes.lapsed_ids)
 
+    def _is_restored(self, era: int) -> bool:
+        """Return whether an era shows a restoration since the view."""
+        return era > self.view.era and self.view.revision >= 0
+
+    def _begin_era(self, era: int, revision: int) -> None:
+        """Treat registrations as after an outage once the era has risen."""
+        _log.warning(
+            "the store was restored from an older copy",
+            era=era,
+            before=self.view.era,
+            revision=revision,
+            revision_before=self.view.revision,
+            endpoints_before=len(self.view.endpoint_by_id),
+        )
+        self._metrics.count(VIEW_RESTORATIONS)
+        self.delay_removals()
+
+    def _is_removal_due_later(self, id_: str, now_s: float) -> bool:
+        lapsed = self._lapsed_by_id.get(id_)
+        return (
+            lapsed is not None
+            and lapsed.removal_s > now_s
+            and lapsed.stamp >= self.view.endpoint_by_id[id_].stamp
+        )
+
     def install_if_newer(
         self,
         peer_view: view_module.View,
@@ -127,14 +182,31 @@
         That daemon has kept the endpoints in ``lapsed_ids`` for the time being
         though the store has removed their registrations.
         """
-        if peer_view.revision <= self.view.revision or not peer_view.loaded:
-            return False
-        if peer_view.configuration.version < self.view.configuration.version:
+        if peer_view.stamp <= self.view.stamp or not peer_view.loaded:
             return False
+        own_configuration = self.view.configuration
+        if peer_view.configuration.version < own_configuration.version:
+            # Only a restored store has newer revisions with older versions.
+            if peer_view.era == 0:
+                return False
+            peer_view = dataclasses.replace(
+                peer_view, configuration=own_configuration
+            )
+        lapsed_ids = set(lapsed_ids)
+        if self._is_restored(peer_view.era):
+            self._begin_era(peer_view.era, peer_view.revision)
+            own_by_id = self.view.endpoint_by_id
+            lapsed_ids |= own_by_id.keys() - peer_view.endpoint_by_id.keys()
+            peer_view = dataclasses.replace(
+                peer_view,
+                endpoint_by_id={**own_by_id, **peer_view.endpoint_by_id},
+            )
+            self._kept = store_era.states_to_keep(self.view, peer_view)
         _log.info(
             "installed the view of another daemon",
             revision=peer_view.revision,
             before=self.view.revision,
+            era=peer_view.era,
             version=peer_view.configuration.version,
         )
         self._install(peer_view)
@@ -158,16 +230,16 @@
             id_
             for id_, lapsed in self._lapsed_by_id.items()
             if id_ in self.view.endpoint_by_id
-            and self.view.endpoint_by_id[id_].revision <= lapsed.revision
+            and self.view.endpoint_by_id[id_].stamp <= lapsed.stamp
         ]
 
     def _record_lapsed(
         self, endpoint: view_module.Endpoint, removal_s: float
     ) -> None:
         lapsed = self._lapsed_by_id.get(endpoint.id)
-        if lapsed is None or lapsed.revision < endpoint.revision:
+        if lapsed is None or lapsed.stamp < endpoint.stamp:
             self._lapsed_by_id[endpoint.id] = _LapsedRegistration(
-                removal_s, endpoint.revision
+                removal_s, endpoint.stamp
             )
 
     def _newer_configuration(
@@ -176,6 +248,14 @@
         current = self.view.configuration
         received = changes.configuration
         if received is None or received.version <= current.version:
+            if received is not None and received.version < current.version:
+                _log.info(
+                    "configuration not applied",
+                    reason="its version is lower than the one in force",
+                    version=received.version,
+                    in_force=current.version,
+                    era=changes.era,
+                )
             return current
         _log.info(
             "configuration in force",
@@ -217,7 +297,8 @@
             lifetime_s = self.kernel.settings.bounds.flow_lifetime_s
             until_s = anyio.current_time() + lifetime_s
             self._old_versions.append((until_s, old))
-        self.view = new_view
+        self.view = store_era.with_kept_states(new_view, self._kept)
+        self._metrics.gauge(VIEW_ERA, new_view.era)
         self._metrics.gauge(VIEW_REVISION, new_view.revision)
         self._metrics.gauge(VIEW_VERSION, new_view.configuration.version)
         changed, self._view_changed = self._view_changed, anyio.Event()
@@ -235,8 +316,9 @@
         """
         grace_s = self.kernel.settings.bounds.reregistration_s
         self._no_removal_until_s = anyio.current_time() + grace_s
+        self._ids_of_copy = set()
         self._lapsed_by_id = {
-            id_: _LapsedRegistration(self._no_removal_until_s, lapsed.revision)
+            id_: _LapsedRegistration(self._no_removal_until_s, lapsed.stamp)
             for id_, lapsed in self._lapsed_by_id.items()
         }
 
@@ -274,10 +356,13 @@
         return now_s >= self._listing_incomplete_until_s
 
     def next_removal_s(self) -> float:
-        """Return when the next lapsed endpoint is due; infinite if none is."""
+        """Return when the next lapsed endpoint is due; infinite if none is.
+
+        The states that are kept after a restoration end in the same way.
+        """
         return min(
             (lapsed.removal_s for lapsed in self._lapsed_by_id.values()),
-            default=math.inf,
+            default=self._no_removal_until_s if self._kept else math.inf,
         )
 
     def remove_lapsed(self, current_s: float) -> None:
@@ -286,22 +371,28 @@
         ``current_s`` is when the view was last known to be current. What has
         registered since then is not known.
         """
+        has_kept = bool(self._kept)
+        if has_kept and self._no_removal_until_s <= current_s:
+            self._kept = store_era.NOTHING_KEPT
+            _log.info("states from before the restoration end")
         due_ids = [
             id_
             for id_, lapsed in self._lapsed_by_id.items()
             if lapsed.removal_s <= current_s
         ]
-        if not due_ids:
+        if not due_ids and has_kept == bool(self._kept):
             return
         endpoint_by_id = dict(self.view.endpoint_by_id)
         for id_ in due_ids:
             lapsed = self._lapsed_by_id.pop(id_)
             endpoint = endpoint_by_id.get(id_)
             # It may have registered again, by a change or a peer's view.
-            if endpoint is not None and endpoint.revision <= lapsed.revision:
+            if endpoint is not None and endpoint.stamp <= lapsed.stamp:
                 del endpoint_by_id[id_]
                 _log.info("endpoint did not register again", endpoint=id_)
-        if len(endpoint_by_id) < len(self.view.endpoint_by_id):
+        if has_kept != bool(self._kept) or len(endpoint_by_id) < len(
+            self.view.endpoint_by_id
+        ):
             self._install(
                 dataclasses.replace(self.view, endpoint_by_id=endpoint_by_id)
             )
--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -10,6 +10,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import guard
+from bramleypin.internal.stream import store_era
 from bramleypin.internal.stream import view as view_module
 from bramleypin.internal.stream import view_manager
 
@@ -62,6 +63,12 @@
     "entries",
     "Entries of the store that could not be decoded.",
 )
+STORE_ERAS_INVALID = metrics.declare(
+    "store.eras_invalid",
+    "counter",
+    "answers",
+    "Answers of the store whose era cannot be read or is an earlier one.",
+)
 STORE_LISTING_TIME = metrics.declare(
     "store.listing_time",
     "histogram",
@@ -91,7 +98,7 @@
 @kernel_module.service(
     "view_reader",
     roles=("stream_balancer", "stream_agent"),
-    needs=("view", "relay", "metrics"),
+    needs=("view", "relay", "peer_port", "metrics"),
 )
 class ViewReader(kernel_module.Service):
     """Lists the store once; watches it while no relay confirms the view."""
@@ -100,12 +107,18 @@
         super().__init__(kernel)
         self._view_manager: view_manager.ViewManager = kernel.get("view")
         self._relay = kernel.get("relay")
+        self._peers = kernel.get("peer_port")
+        self._peers.on_newer_era = self._on_newer_era
         self._metrics = kernel.get("metrics")
         self._source: view_module.ViewSource = kernel.environment.platform
         self._random = kernel.environment.random
         self._listing_complete = False
         self._store_answered_s = float("-inf")
         self.store_failing = False
+        self._restoration_seen = False
+        # Highest era that another daemon had announced before a listing.
+        self._listed_era = 0
+        self._watch_scope: anyio.CancelScope | None = None
 
     async def run(self) -> None:
         """Read the store until cancelled, retrying after failures."""
@@ -153,13 +166,13 @@
             retry_s, outage_started_s = MIN_RETRY_S, None
             self.store_failing = False
             self._metrics.count(STORE_CALLS_ANSWERED)
-            old_revision = self._view_manager.view.revision
+            old_stamp = self._view_manager.view.stamp
             self._apply(results)
             # A relay must not confirm a view that lacks these changes.
             self._relay.record_store_answer()
             self._store_answered_s = anyio.current_time()
             self._listing_complete = True
-            if self._view_manager.view.revision > old_revision:
+            if self._view_manager.view.stamp > old_stamp:
                 await anyio.sleep(self._group_delay_s())
 
     def _group_delay_s(self) -> float:
@@ -176,7 +189,7 @@
         return age_s < MAX_USE_AGE_S
 
     def _record_failure(
-        self, error: errors.PlatformUnavailable, outage_s: float
+        self, error: errors.BramleypinError, outage_s: float
     ) -> None:
         """Count and log a failed call, ``outage_s`` after the first one.
 
@@ -189,6 +202,9 @@
         if isinstance(error, errors.PlatformAnswerUnusable):
             self._metrics.count(STORE_ANSWERS_UNUSABLE)
             event = "an answer of the store cannot be used"
+        if isinstance(error, errors.PlatformEraOutdated):
+            self._metrics.count(STORE_ERAS_INVALID)
+            event = "an answer of the store is of an earlier era"
         view = self._view_manager.view
         _log.warn_throttled(
             event,
@@ -205,6 +221,10 @@
                 self._metrics.count(
                     STORE_ENTRIES_SKIPPED, changes.skipped_count
                 )
+            if changes.invalid_era_count:
+                self._metrics.count(
+                    STORE_ERAS_INVALID, changes.invalid_era_count
+                )
             self._view_manager.apply(changes)
 
     async def _list_store(self) -> None:
@@ -246,10 +266,17 @@
     ) -> None:
         try:
             try:
-                results = await self._read(allow_stale=True)
+                results = await self._read(not self._restoration_seen)
             except errors.PlatformHistoryLost:
                 results = await self._read()
-        except errors.PlatformUnavailable as error:
+        except (
+            errors.PlatformUnavailable,
+            errors.PlatformRestored,
+        ) as error:
+            # A stale answer may be of the earlier era for some time.
+            self._restoration_seen |= isinstance(
+                error, (errors.PlatformEraOutdated, errors.PlatformRestored)
+            )
             self._record_failure(error, anyio.current_time() - started_s)
             return
         if not self._listing_complete:
@@ -260,9 +287,12 @@
         attempts.cancel()
 
     async def _next_changes(self) -> tuple[view_module.Changes, ...]:
-        if not self._listing_complete:
-            return await self._read()
-        revision = self._view_manager.view.revision
+        announced_era = self._peers.newest[0]
+        if not self._listing_complete or self._is_era_announced():
+            results = await self._read()
+            self._listed_era = max(self._listed_era, announced_era)
+            return results
+        view = self._view_manager.view
         wait_s = WATCH_WAIT_S
         if self._relay.has_followers():
             wait_s = min(wait_s, self._relay.watch_wait_s)
@@ -270,14 +300,36 @@
         # missing when its removal is due.
         due_s = self._view_manager.next_removal_s() - anyio.current_time()
         wait_s = max(min(wait_s, due_s), MIN_WATCH_WAIT_S)
-        with _unexpected_errors_as_unusable():
-            return (await self._source.watch(revision, wait_s),)
+        self._watch_scope = anyio.CancelScope()
+        with self._watch_scope, _unexpected_errors_as_unusable():
+            changes = await self._source.watch(view.revision, wait_s)
+            store_era.raise_if_older(changes.era, self._view_manager.view.era)
+            store_era.raise_if_restored((view.era, changes.era))
+            return (changes,)
+        raise errors.PlatformRestored("another daemon announces a newer era")
+
+    def _is_era_announced(self) -> bool:
+        """Return whether a daemon announced an era that was not listed."""
+        known_era = max(self._view_manager.view.era, self._listed_era)
+        return self._peers.newest[0] > known_era
+
+    def _on_newer_era(self) -> None:
+        """End a watch that began before a restoration of the store."""
+        if self._is_era_announced():
+            self._relay.check_confirmation()
+            if self._watch_scope is not None:
+                self._watch_scope.cancel()
 
     async def _read(
         self, allow_stale: bool = False
     ) -> tuple[view_module.Changes, ...]:
         with _unexpected_errors_as_unusable():
-            return await self._source.read(allow_stale)
+            results = await self._source.read(allow_stale)
+            for changes in results:
+                store_era.raise_if_older(
+                    changes.era, self._view_manager.view.era
+                )
+            return results
 
     async def _remove_lapsed_periodically(self) -> None:
         while True:
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -8,11 +8,13 @@
 from bramleypin import errors
 from bramleypin.internal import address
 from bramleypin.internal.net import http_client
+from bramleypin.internal.stream import store_era
 from bramleypin.internal.stream import view
 from bramleypin.platform import decoding
 
 RANGE_PATH = "/bramleypin/kv-range"
 WATCH_PATH = "/bramleypin/kv-watch"
+ERA_HEADER = b"store-era"
 # A page holds about 1 MB of data, to which base64 adds a third. The changes
 # that a watch returns have no limit of their own.
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -29,10 +31,17 @@
 
 
 class _Connection(http_client.HttpConnection):
-    """A connection to the store, opened by the first request."""
+    """A connection to the store, opened by the first request.
 
-    def __init__(self, store_address: address.Address):
+    ``era`` is that of the latest page.
+    """
+
+    def __init__(
+        self, store_address: address.Address, eras: store_era.AnswerEras
+    ):
         super().__init__(store_address, MAX_BODY_BYTES)
+        self._eras = eras
+        self.era = 0
 
     async def get_page(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -44,7 +53,9 @@
             requested changes.
         """
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        status, body = await self.get(target, timeout_s)
+        status, headers, body = await self.get(target, timeout_s)
+        if status in (200, 410):
+            self.era = self._eras.of_answer(headers.get(ERA_HEADER))
         if status == 410:
             raise errors.PlatformHistoryLost(
                 f"{path}: the store has discarded the changes"
@@ -66,7 +77,8 @@
 
     def __init__(self, store_address: address.Address):
         self._address = store_address
-        self._watch_connection = _Connection(store_address)
+        self._eras = store_era.AnswerEras()
+        self._watch_connection = _Connection(store_address, self._eras)
         self._listings: list[_Connection] = []
 
     @property
@@ -83,12 +95,14 @@
         once then adds the changes after the oldest of the pages.
 
         :raises errors.PlatformUnavailable: if the store does not answer.
-        :raises errors.PlatformHistoryLost: as ``watch`` does.
+        :raises errors.PlatformHistoryLost: as ``watch`` does, or when the
+            answers are of several eras.
         """
-        connection = _Connection(self._address)
+        connection = _Connection(self._address, self._eras)
         self._listings.append(connection)
         items: list[decoding.Item] = []
         revision = None
+        eras: list[int] = []
         query = {"prefix": ""} | ({"allow_stale": "1"} if allow_stale else {})
         try:
             for _ in range(MAX_PAGES):
@@ -98,20 +112,25 @@
                 # Pages are not a snapshot, and a stale page may be older than
                 # the one before. A watch from the oldest reports all changes.
                 revision = min(page.as_of, revision or page.as_of)
+                eras.append(connection.era)
                 page_items = decoding.decode_items(page.items)
                 items += page_items
                 if not page.has_more or not page_items:
                     break
                 query["after"] = page_items[-1].key
+            store_era.raise_if_restored(eras)
             if page.has_more:
                 # Items that are not listed would count as removed.
                 message = f"{RANGE_PATH}: the listing has no last page"
                 raise errors.PlatformUnavailable(message)
             now_s = anyio.current_time()
-            listing = decoding.decode(items, revision or 0, now_s, True)
+            decoded = decoding.decode(items, revision or 0, now_s, True)
+            listing = self._eras.stamp(decoded, eras[0])
             if not allow_stale:
                 return (listing,)
-            return listing, await self._watch(connection, revision or 0, 0.0)
+            later = await self._watch(connection, revision or 0, 0.0)
+            store_era.raise_if_restored((listing.era, later.era))
+            return listing, later
         finally:
             self._listings.remove(connection)
             await connection.aclose()
@@ -127,9 +146,8 @@
         """
         return await self._watch(self._watch_connection, after, wait_s)
 
-    @staticmethod
     async def _watch(
-        connection: _Connection, after: int, wait_s: float
+        self, connection: _Connection, after: int, wait_s: float
     ) -> view.Changes:
         wait_ms = str(int(wait_s * 1000))
         query = {"prefix": "", "after": str(after), "wait_ms": wait_ms}
@@ -141,7 +159,8 @@
             raise errors.PlatformHistoryLost(str(error)) from error
         now_s = anyio.current_time()
         events = decoding.decode_items(page.events)
-        return decoding.decode(events, page.as_of, now_s, False)
+        decoded = decoding.decode(events, page.as_of, now_s, False)
+        return self._eras.stamp(decoded, connection.era)
 
     async def aclose(self) -> None:
         """Close the connection that is used for watches."""
--- a/src/bramleypin/standins/stream_store.py
+++ b/src/bramleypin/standins/stream_store.py
@@ -6,6 +6,7 @@
 import anyio
 
 from bramleypin import errors
+from bramleypin.internal.stream import store_era
 from bramleypin.internal.stream import view
 
 STORE_LATENCY_S = 0.004
@@ -32,6 +33,18 @@
     return changes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _State:
+    """What the store held from a time on."""
+
+    written_s: float
+    revision: int
+    configuration: view.Configuration
+    endpoints: tuple[view.Endpoint, ...]
+    domains_out: tuple[str, ...]
+    foreign_by_id: dict[str, tuple[int, EntryDecoder]]
+
+
 class Store:
     """A simulated metadata store.
 
@@ -40,7 +53,8 @@
     unanswered and fail after ``LISTING_TIMEOUT_S``; those of ``silent_hosts``
     always do. A watch that is already waiting fails in the same way at the
     next change or at its end. A stale listing shows the state
-    ``stale_commits`` changes ago.
+    ``stale_commits`` changes ago. Answers carry ``era`` once ``restore`` has
+    raised it, or ``era_value`` if that is not empty.
     ``calls`` counts calls as they are charged: a stale one costs a tenth.
     """
 
@@ -57,8 +71,10 @@
         self.silent_hosts: set[str] = set()
         self.calls = 0.0
         self.stale_commits = 0
-        self._states: list[tuple[int, view.Configuration, tuple, tuple]] = [
-            (self.revision, self.configuration, (), ())
+        self.era = 0
+        self.era_value = b""
+        self._states: list[_State] = [
+            _State(0.0, self.revision, self.configuration, (), (), {})
         ]
         self._change_log: list[tuple[int, str, object]] = []
         self._oldest_revision = 0
@@ -68,13 +84,18 @@
         self.revision += 1
         self._change_log.append((self.revision, kind, value))
         self._states.append(
-            (
+            _State(
+                anyio.current_time(),
                 self.revision,
                 self.configuration,
                 tuple(self.endpoint_by_id.values()),
                 tuple(self.domains_out),
+                dict(self._foreign_by_id),
             )
         )
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         change_event, self._change_event = self._change_event, anyio.Event()
         change_event.set()
 
@@ -114,6 +135,34 @@
         """Discard the change history; watches from older revisions fail."""
         self._oldest_revision = self.revision
 
+    def restore(self, seconds_back: float, ends_watches: bool = True) -> None:
+        """Come back from a copy; what was written since is lost.
+
+        Watches may go on until the next change or their own end.
+        """
+        copied_s = anyio.current_time() - seconds_back
+        while len(self._states) > 1 and self._states[-1].written_s > copied_s:
+            self._states.pop()
+        state = self._states[-1]
+        self.era += 1
+        self.revision = state.revision
+        self.configuration = state.configuration
+        self.endpoint_by_id = {item.id: item for item in state.endpoints}
+        self.domains_out = set(state.domains_out)
+        self._foreign_by_id = dict(state.foreign_by_id)
+        self._change_log = [
+            item for item in self._change_log if item[0] <= self.revision
+        ]
+        self._oldest_revision = min(self._oldest_revision, self.revision)
+        if ends_watches:
+            self._wake_watches()
+
+    def answer_era(self) -> bytes | None:
+        """Return the era in the form in which an answer carries it."""
+        if self.era_value or not self.era:
+            return self.era_value or None
+        return b"%d" % self.era
+
     async def _raise_if_unavailable(self, host: str) -> None:
         if self.silent or host in self.silent_hosts:
             await anyio.sleep(LISTING_TIMEOUT_S)
@@ -135,18 +184,25 @@
         index = len(self._states) - 1
         if allow_stale:
             index = max(0, index - self.stale_commits)
-        revision, listed, endpoints, domains_out = self._states[index]
+        state = self._states[index]
+        listed = state.configuration
         listing = view.Changes(
-            revision,
+            state.revision,
             listed if listed.version >= 0 else None,
-            tuple(self._mark_seen(item) for item in endpoints),
+            tuple(self._mark_seen(item) for item in state.endpoints),
             (),
-            domains_out,
+            state.domains_out,
             (),
             complete=True,
         )
         return _with_decoded(listing, self._foreign_by_id.values())
 
+    def _raise_if_unknown(self, after: int, oldest_revision: int) -> None:
+        if not oldest_revision <= after <= self.revision:
+            raise errors.PlatformHistoryLost(
+                "the simulated store does not have some of these changes"
+            )
+
     async def watch(
         self, host: str, after: int, wait_s: float
     ) -> view.Changes:
@@ -159,15 +215,13 @@
         self.calls += 1
         await anyio.sleep(STORE_LATENCY_S)
         await self._raise_if_unavailable(host)
-        if after < self._oldest_revision:
-            raise errors.PlatformHistoryLost(
-                "the simulated store has discarded some of these changes"
-            )
+        self._raise_if_unknown(after, self._oldest_revision)
         with anyio.move_on_after(wait_s):
-            while self.revision <= after:
+            while self.revision == after:
                 await self._change_event.wait()
                 await self._raise_if_unavailable(host)
         await self._raise_if_unavailable(host)
+        self._raise_if_unknown(after, 0)
         changes = [item for item in self._change_log if item[0] > after]
         by_kind: dict[str, list] = {}
         for _, kind, value in changes:
@@ -196,6 +250,9 @@
     store: Store
     host: str
     transfers: int = 0
+    eras: store_era.AnswerEras = dataclasses.field(
+        default_factory=store_era.AnswerEras
+    )
 
     @property
     def receiving(self) -> bool:
@@ -210,7 +267,7 @@
         :raises errors.PlatformUnavailable: when the store is unavailable, or
             the transfer takes longer than ``LISTING_TIMEOUT_S``.
         """
-        listing = await self.store.read(self.host, allow_stale)
+        listing = self._with_era(await self.store.read(self.host, allow_stale))
         remaining_s = self.store.transfer_s
         if remaining_s <= 0:
             return await self._with_later_changes(listing, allow_stale)
@@ -232,8 +289,15 @@
     ) -> tuple[view.Changes, ...]:
         if not allow_stale:
             return (listing,)
-        return listing, await self.watch(listing.revision, 0.0)
+        later = await self.watch(listing.revision, 0.0)
+        store_era.raise_if_restored((listing.era, later.era))
+        return listing, later
+
+    def _with_era(self, changes: view.Changes) -> view.Changes:
+        era = self.eras.of_answer(self.store.answer_era())
+        return self.eras.stamp(changes, era)
 
     async def watch(self, after: int, wait_s: float) -> view.Changes:
         """Wait up to ``wait_s`` for changes after a revision."""
-        return await self.store.watch(self.host, after, wait_s)
+        changes = await self.store.watch(self.host, after, wait_s)
+        return self._with_era(changes)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -314,11 +314,74 @@
         return anyio.run(main)
 
     @staticmethod
-    def response(status: int, body: object) -> bytes:
+    def response(status: int, body: object, era: str = "") -> bytes:
         """Return a raw HTTP response."""
         data = json.dumps(body).encode()
-        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
-        return head.encode() + data
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+        if era:
+            head += f"Store-Era: {era}\r\n"
+        return f"{head}\r\n".encode() + data
+
+    def test_changes_have_the_era_of_their_answer(self):
+        """Guards against changes of one era that are used in another.
+
+        A 410 shows the era, too, and an answer of an earlier era is discarded.
+        """
+        body = {
+            "as_of": 5,
+            "events": [msgspec.to_builtins(item("servers/e", ENDPOINT_ENTRY))],
+        }
+        results = self.run_watches(
+            [
+                self.response(200, body),
+                self.response(200, body, "3"),
+                self.response(200, body, "four"),
+                self.response(410, {}, "4"),
+                self.response(200, body, "3"),
+                self.response(200, body),
+                self.response(200, body, "4"),
+            ]
+        )
+        for result in results[4:6]:
+            self.assertIsInstance(result, errors.PlatformEraOutdated)
+        self.assertIsInstance(results[3], errors.PlatformHistoryLost)
+        eras = [
+            (item.era, item.endpoints[0].era, item.invalid_era_count)
+            for item in (*results[:3], results[6])
+        ]
+        self.assertEqual([(0, 0, 0), (3, 3, 0), (3, 3, 1), (4, 4, 0)], eras)
+
+    @parameterized.parameterized.expand(
+        [
+            ("pages", ("1", "2"), False),
+            ("pages and watch", ("1", "1", "2"), True),
+        ]
+    )
+    def test_a_listing_is_discarded_if_it_is_of_two_eras(
+        self, _, eras, allow_stale
+    ):
+        """Guards against a view of which a part was lost in a restoration."""
+        remaining_eras = list(eras)
+
+        async def get(connection, target, timeout_s):
+            body = {
+                "as_of": 3,
+                "items": [
+                    msgspec.to_builtins(item("servers/e", ENDPOINT_ENTRY))
+                ],
+                "has_more": len(remaining_eras) == len(eras),
+            }
+            headers = {store.ERA_HEADER: remaining_eras.pop(0).encode()}
+            return 200, headers, json.dumps(body).encode()
+
+        async def main():
+            client = store.StoreClient(address.Address("127.0.0.1", 1))
+            with self.assertRaises(errors.PlatformRestored):
+                await client.read(allow_stale)
+
+        with mock.patch.object(http_client.HttpConnection, "get", get):
+            anyio.run(main)
+        self.assertEqual([], remaining_eras)
 
     def test_responses_are_decoded_into_changes_or_typed_errors(self):
         """Guards against a reader that stops or ignores a loss of history."""
--- a/tests/cover/test_stream_admission.py
+++ b/tests/cover/test_stream_admission.py
@@ -42,7 +42,14 @@
 
 
 def make_view(
-    out=(), registered=True, version=1, cold_per_s=0.0, **endpoint_fields
+    out=(),
+    registered=True,
+    version=1,
+    cold_per_s=0.0,
+    era=0,
+    draining_kept=(),
+    domains_kept=(),
+    **endpoint_fields,
 ) -> view.View:
     """Return a view with one endpoint and routes of two priorities."""
     values = {
@@ -68,7 +75,15 @@
     if version < 0:
         configuration = view.NO_CONFIGURATION
     endpoint_by_id = {"e": endpoint} if registered else {}
-    return view.View(9, configuration, endpoint_by_id, frozenset(out))
+    return view.View(
+        9,
+        configuration,
+        endpoint_by_id,
+        frozenset(out),
+        era,
+        frozenset(draining_kept),
+        frozenset(domains_kept),
+    )
 
 
 def request(
@@ -80,9 +95,12 @@
     revision=9,
     version=1,
     port=443,
+    era=0,
 ) -> stream_admission.AdmissionRequest:
     """Return an opening as input of the admission checks."""
-    offer = frames.Offer(1, "10.0.0.1", service, version, revision, [], [])
+    offer = frames.Offer(
+        1, "10.0.0.1", service, version, revision, [], [], era=era
+    )
     return stream_admission.AdmissionRequest(
         offer,
         (stream_fleet.SERVICE_HOST, port),
@@ -124,6 +142,18 @@
             ("", make_view(out=("b",)), request()),
             ("not registered", make_view(registered=False), request()),
             ("", make_view(registered=False), request(revision=12)),
+            (
+                "not registered",
+                make_view(registered=False, era=1),
+                request(revision=12),
+            ),
+            (
+                "",
+                make_view(registered=False),
+                request(revision=3, era=1),
+            ),
+            ("draining", make_view(draining_kept=("e",)), request()),
+            ("failure domain out", make_view(domains_kept=("a",)), request()),
             (
                 "no slot free",
                 make_view(),
--- a/tests/fuzz/test_stream_frames.py
+++ b/tests/fuzz/test_stream_frames.py
@@ -2,11 +2,15 @@
 
 import unittest
 
+import cbor2
 import hypothesis
 from hypothesis import strategies
+import msgspec
+import parameterized
 
 from bramleypin import errors
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import relay
 from bramleypin.platform import packet
 
 SETTINGS = hypothesis.settings(
@@ -21,10 +25,29 @@
     frames.Lookup(1, (1, 2, 3, 4), 5, -1),
     frames.LookupAnswer(1, "10.0.1.1", "holds", 3, 0.5),
     frames.LoadReport(REPORT),
+    frames.LoadReport(msgspec.structs.replace(REPORT, era=2**63 - 1)),
+    frames.Offer(1, "10.0.0.1", "desk", 2, 3, [], [], True, 4),
+    frames.LookupAnswer(1, "10.0.1.1", "holds", 3, 0.5, 4),
+    relay.RelayQuery(3, 4),
+    relay.RelayAnswer(3, True, 4),
 )
 
 
 class FramesTest(unittest.TestCase):
+    @parameterized.parameterized.expand([(None,), (-1,), (2**63,), ("1",)])
+    def test_an_era_is_absent_or_in_its_range(self, era):
+        """Guards against a frame whose era exceeds all that follow.
+
+        A daemon of an earlier version sends none.
+        """
+        data = cbor2.dumps([3, True] + ([] if era is None else [era]))
+        if era is None:
+            decoded = frames.decode_body(data, relay.RelayAnswer)
+            self.assertEqual((0, 3), decoded.view_stamp())
+            return
+        with self.assertRaises(errors.InvalidFrame):
+            frames.decode_body(data, relay.RelayAnswer)
+
     def test_every_message_is_unchanged_by_a_round_trip(self):
         """Guards against a message whose fields change in encoding."""
         for message in MESSAGES:
