--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -20,6 +20,9 @@
     # A paused balancer delivered copies of requests a second late, and the
     # simulated endpoint executed them again.
     88,
+    # The store is restored twice from older copies. This seed has shown no
+    # failure; it keeps restorations in the regression runs.
+    16,
 )
 # As above, with balancers and agents that are killed in series. They are in a
 # class of their own so that they run beside the others.
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -33,6 +33,12 @@
 KEPT_FLOW_FRACTION = 0.4
 KEPT_FLOW_REUSED_PORTS_FRACTION = 0.9
 KEPT_FLOW_REUSE_DELAY_S = 1.0
+# In two of five runs, the store is restored from a copy. What it loses by that
+# is written again within the time that a live endpoint needs to register.
+RESTORATIONS = 2
+RESTORED_AGE_S = (0.5, 6.0)
+UNAVAILABLE_S = (0.0, 1.5)
+REWRITE_S = (0.1, 1.5)
 SERVICE_HOST = segment.ipv4_to_int("198.18.0.1")
 ADDRESS_BY_SERVICE = {
     "desk": (SERVICE_HOST, 443),
@@ -90,6 +96,8 @@
         # Random numbers of their own keep the schedules of earlier seeds.
         self._foreign_rng = random.Random(seed)
         self._kill_rng = random.Random(seed)
+        self._restore_rng = random.Random(seed)
+        self._restores = seed % 5 in (1, 2)
         self._kills_in_series = seed % 4 >= 2
         self.store = store_module.Store()
         self.executions: list[ends.Execution] = []
@@ -228,6 +236,8 @@
         async with anyio.create_task_group() as load:
             load.start_soon(self._make_planned_changes)
             load.start_soon(self._write_foreign_entries)
+            if self._restores:
+                load.start_soon(self._restore_store)
             async with anyio.create_task_group() as injections:
                 injections.start_soon(self._generate_load, load, started_s)
                 if self._kills_in_series:
@@ -287,6 +297,34 @@
             else:
                 self.store.put_bytes(key, value)
 
+    async def _restore_store(self) -> None:
+        """Restore the store from copies; write again what that loses."""
+        rng = self._restore_rng
+        for _ in range(RESTORATIONS):
+            await anyio.sleep(
+                rng.uniform(0.2, 0.8) * FAULT_PERIOD_S / RESTORATIONS
+            )
+            unavailable_s = rng.uniform(*UNAVAILABLE_S)
+            proxies = [machine.proxy for machine in self.machines]
+            affected = [item for item in proxies if item.mode == "pass"]
+            for proxy in affected:
+                proxy.mode = "refuse"
+            await anyio.sleep(unavailable_s)
+            lost = self.store.restore(rng.uniform(*RESTORED_AGE_S))
+            for proxy in affected:
+                proxy.mode = "pass"
+            restored_s = anyio.current_time()
+            for key in sorted(lost, key=lambda _: rng.random()):
+                await anyio.sleep(rng.uniform(*REWRITE_S) / len(lost))
+                self.store.write_again(key, lost[key])
+            rewritten_s = anyio.current_time()
+            # A change that no daemon may have heard of before the restoration
+            # counts as acknowledged when it is written again.
+            oldest_s = restored_s - unavailable_s - machines.EVACUATION_S
+            for change, at_s in self.acknowledged_s_by_change.items():
+                if at_s > oldest_s and change != "back":
+                    self.acknowledged_s_by_change[change] = rewritten_s
+
     async def _kill_in_turn(
         self, group: list[machines.Machine], down_s: tuple[float, float]
     ) -> None:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -21,7 +21,11 @@
 
     def __init__(self):
         self.revision = 1
+        self.era = 0
+        self._keys_since_restoration: set[str] = set()
         self._item_by_key: dict[str, dict] = {}
+        # Time, revision and items after each change.
+        self._states: list[tuple[float, int, dict[str, dict]]] = [(0.0, 1, {})]
         self._events: list[dict] = []
         self._change_event = anyio.Event()
         self.server = http_server.HttpServer(self._respond, "soak-store")
@@ -58,8 +62,56 @@
         """Discard the past changes; watches that need them get a 410."""
         self._events.clear()
 
+    def restore(self, seconds_back: float) -> dict[str, bytes | None]:
+        """Come back from a copy; return the lost values by key.
+
+        The value of a key that was removed since is ``None``. The history
+        ends with the copy, and so do watches of revisions that it lacks.
+        """
+        lost_items = self._item_by_key
+        copied_s = anyio.current_time() - seconds_back
+        while len(self._states) > 1 and self._states[-1][0] > copied_s:
+            self._states.pop()
+        _, self.revision, items = self._states[-1]
+        self._item_by_key = dict(items)
+        self._events = [
+            event
+            for event in self._events
+            if event["revision"] <= self.revision
+        ]
+        self.era += 1
+        self._keys_since_restoration.clear()
+        self._wake_watches()
+        return {
+            key: (
+                base64.b64decode(lost_items[key]["value"])
+                if key in lost_items
+                else None
+            )
+            for key in lost_items.keys() | items.keys()
+            if lost_items.get(key) != items.get(key)
+        }
+
+    def write_again(self, key: str, data: bytes | None) -> None:
+        """Repeat a lost write unless its key was written since."""
+        item = self._item_by_key.get(key)
+        if key in self._keys_since_restoration:
+            return
+        if data is None:
+            self.delete(key)
+        elif item is None or base64.b64decode(item["value"]) != data:
+            self.put_bytes(key, data)
+
     def _publish(self, event: dict) -> None:
         self._events = [*self._events[-MAX_HISTORY_CHANGES:], event]
+        self._keys_since_restoration.add(event["key"])
+        self._states.append(
+            (anyio.current_time(), self.revision, dict(self._item_by_key))
+        )
+        self._states = self._states[-MAX_HISTORY_CHANGES:]
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         change_event, self._change_event = self._change_event, anyio.Event()
         change_event.set()
 
@@ -74,8 +126,10 @@
             return http_server.Answer(404)
         after_revision = int(query["after"])
         with anyio.move_on_after(int(query["wait_ms"]) / 1000):
-            while self.revision <= after_revision:
+            while self.revision == after_revision:
                 await self._change_event.wait()
+        if self.revision < after_revision:
+            return http_server.Answer(410, headers=self._era_headers())
         oldest_revision = self._events[0]["revision"] if self._events else None
         history_known = (
             self.revision <= after_revision
@@ -84,7 +138,7 @@
         if not history_known or (
             oldest_revision is None and self.revision > after_revision
         ):
-            return http_server.Answer(410)
+            return http_server.Answer(410, headers=self._era_headers())
         events = [
             item for item in self._events if item["revision"] > after_revision
         ]
@@ -92,7 +146,12 @@
 
     def _answer(self, **fields: object) -> http_server.Answer:
         body = json.dumps({"as_of": self.revision, **fields})
-        return http_server.Answer(200, body.encode(), "application/json")
+        return http_server.Answer(
+            200, body.encode(), "application/json", self._era_headers()
+        )
+
+    def _era_headers(self) -> tuple[tuple[str, str], ...]:
+        return (("Store-Era", str(self.era)),)
 
 
 class Proxy:
