--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -161,6 +161,7 @@
                 [*offer.tried_hosts, self.settings.host],
                 remaining_hosts[1:],
                 offer.is_late,
+                offer.era,
             ),
             data,
         )
@@ -291,6 +292,7 @@
                 answer,
                 self._views.view.revision,
                 round(self.flows.uptime_s(), 3),
+                self._views.view.era,
             ),
         )
 
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -13,10 +13,6 @@
 # and its numbers can be used in computations.
 MAX_NAME_CHARACTERS = 255
 MAX_SLOTS = 1_000_000
-# Bounds of a route's values. A value outside them is an error of its writer.
-MAX_PRIORITY = 1_000
-MAX_WEIGHT = 1e9
-MAX_ROUTE_TIME_S = 86_400.0
 MAX_STARTED_MS = 2**63 - 1
 
 
@@ -91,7 +87,8 @@
     ``revision`` is the store revision of its latest registration, ``created``
     that of its first one. ``cold_s`` is the remaining cold time at ``seen_s``,
     when this process received the registration (monotonic clock).
-    ``started_ms`` is the start time in Unix milliseconds.
+    ``started_ms`` is the start time in Unix milliseconds, ``era`` the store's
+    era when it listed or announced the registration.
     """
 
     id: str
@@ -105,6 +102,12 @@
     created: int
     cold_s: float
     seen_s: float
+    era: int = 0
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """The store's era and revision, by which registrations are ordered."""
+        return self.era, self.revision
 
     def remaining_cold_s(self, now_s: float) -> float:
         """Return the remaining cold time in seconds."""
@@ -126,14 +129,17 @@
 class Configuration:
     """One immutable version of the configuration.
 
-    ``refused_addresses`` are those of routes with a value that is not valid.
+    ``refused_count`` is the number of routes and services left out because of
+    a value that is not valid. If it is not 0, ``written_addresses`` are the
+    addresses of all routes, those left out included.
     """
 
     version: int
     route_by_address: dict[tuple[int, int], Route]
     service_by_name: dict[str, Service]
     idle_s: float
-    refused_addresses: frozenset[tuple[int, int]] = frozenset()
+    written_addresses: frozenset[tuple[int, int]] = frozenset()
+    refused_count: int = 0
     _highest_priority_by_service: dict[str, float] = dataclasses.field(
         default_factory=dict, init=False, repr=False, compare=False
     )
@@ -141,14 +147,14 @@
     def with_routes_kept(self, earlier: "Configuration") -> "Configuration":
         """Return this version with the earlier form of its refused routes."""
         route_by_address = dict(self.route_by_address)
-        for address in self.refused_addresses:
+        for address in self.written_addresses:
             route = earlier.route_by_address.get(address)
             if route is not None:
                 route_by_address.setdefault(address, route)
         return dataclasses.replace(
             self,
             route_by_address=route_by_address,
-            refused_addresses=frozenset(),
+            written_addresses=frozenset(),
         )
 
     def highest_priority(self, service: str) -> float:
@@ -179,12 +185,19 @@
     """An immutable snapshot of the metadata store at one revision.
 
     ``domains_out`` are the failure domains that are out of service.
+    ``era`` rises when the store is restored from an older copy.
+    ``draining_kept`` and ``domains_kept`` are endpoints and failure domains
+    that were draining and out of service before the latest restoration; they
+    are kept so for a time though the store does not say it.
     """
 
     revision: int
     configuration: Configuration
     endpoint_by_id: dict[str, Endpoint]
     domains_out: frozenset[str]
+    era: int = 0
+    draining_kept: frozenset[str] = frozenset()
+    domains_kept: frozenset[str] = frozenset()
     _endpoint_by_host_by_service: dict[str, dict[str, Endpoint]] = (
         dataclasses.field(
             default_factory=dict, init=False, repr=False, compare=False
@@ -207,12 +220,28 @@
             cached = frozenset(
                 host
                 for host, endpoint in self.endpoint_by_host(service).items()
-                if endpoint.draining
-                or endpoint.failure_domain in self.domains_out
+                if self.is_draining(endpoint)
+                or self.is_out(endpoint.failure_domain)
             )
             self._ineligible_hosts_by_service[service] = cached
         return cached
 
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """The store's era and revision, by which views are ordered."""
+        return self.era, self.revision
+
+    def is_draining(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint of the view is draining."""
+        return endpoint.draining or endpoint.id in self.draining_kept
+
+    def is_out(self, failure_domain: str) -> bool:
+        """Return whether a failure domain is out of service."""
+        return (
+            failure_domain in self.domains_out
+            or failure_domain in self.domains_kept
+        )
+
     @property
     def hosts(self) -> dict[str, None]:
         """The hosts of all endpoints, in the order of registration."""
@@ -249,8 +278,9 @@
 
 
 def _is_newer(endpoint: Endpoint, other: Endpoint) -> bool:
-    return (endpoint.started_ms, endpoint.created) > (
+    return (endpoint.started_ms, endpoint.era, endpoint.created) > (
         other.started_ms,
+        other.era,
         other.created,
     )
 
@@ -268,7 +298,7 @@
     taken out of service and returned to it. ``lapsed_ids`` are endpoints whose
     registrations ended in an outage, so that they may come back.
     ``skipped_count`` is the number of entries that could not be decoded,
-    ``refused_count`` that of routes and services of the configuration.
+    ``invalid_era_count`` that of answers whose era could not be read.
     """
 
     revision: int
@@ -280,7 +310,13 @@
     complete: bool = False
     skipped_count: int = 0
     lapsed_ids: tuple[str, ...] = ()
-    refused_count: int = 0
+    era: int = 0
+    invalid_era_count: int = 0
+
+    @property
+    def stamp(self) -> tuple[int, int]:
+        """The store's era and revision up to which the changes reach."""
+        return self.era, self.revision
 
     @property
     def empty(self) -> bool:
@@ -313,7 +349,7 @@
 
         :raises errors.PlatformUnavailable: when the store does not answer.
         :raises errors.PlatformHistoryLost: when the store has discarded the
-            changes after a stale listing.
+            changes after a stale listing, or is restored meanwhile.
         """
 
     async def watch(self, after: int, wait_s: float) -> Changes:
--- a/tests/cover/test_route_choice.py
+++ b/tests/cover/test_route_choice.py
@@ -138,7 +138,8 @@
                 configuration_item(2, **fields),
             )
         )
-        self.assertEqual((0, 1), (valid.refused_count, bad.refused_count))
+        self.assertEqual(0, valid.configuration.refused_count)
+        self.assertEqual(1, bad.configuration.refused_count)
         kept = bad.configuration.with_routes_kept(valid.configuration)
         self.assertEqual(
             valid.configuration.route_by_address[ADDRESS],
