Explain where a balancer would place a new flow

Cause: an operator who asks why a flow went to an endpoint, waited or was reset had to infer it from the logs of several daemons. For that, loads.ranking is split from ranked_hosts, rank classes have names, failing_hosts.choice_without_trial is split from choose, and candidates.lacks_endpoints holds a condition of openings. MetricsHttp serves pages that services add. Exit codes: 9 for an unknown route, 10 for an answer of another version, 6 and 2 as before. Ruled out: a flag "without effects" through loads and estimates, which expire state when read; the tool computing the answer from metrics, a second copy of the decision.

--- a/src/bramleypin/cli.py
+++ b/src/bramleypin/cli.py
@@ -12,6 +12,7 @@
 from bramleypin.internal.tool import fleet_commands
 from bramleypin.internal.tool import log_commands
 from bramleypin.internal.tool import output
+from bramleypin.internal.tool import placement_commands
 from bramleypin.internal.tool import questionnaire_commands
 from bramleypin.internal.tool import report_commands
 from bramleypin.internal.tool import settings_commands
@@ -47,6 +48,7 @@
 application.add_typer(settings_commands.application, name="settings")
 application.command()(fleet_commands.status)
 application.command()(fleet_commands.trace)
+application.command()(placement_commands.placement)
 
 
 def _print_version(version_requested: bool) -> None:
--- a/src/bramleypin/errors.py
+++ b/src/bramleypin/errors.py
@@ -69,6 +69,46 @@
         super().__init__("\n".join(lines))
 
 
+class BalancerSilent(BramleypinError):
+    """Raised when a balancer does not answer the tool over HTTP."""
+
+    exit_code = 6
+
+    def __init__(self, peer: str, reason: str):
+        self.peer = peer
+        super().__init__(
+            f"{peer}: {reason}; check that the balancer runs, and that "
+            "--metrics is the address at which it serves its metrics"
+        )
+
+
+class NoRoute(BramleypinError):
+    """Raised when a balancer has no route with a service address."""
+
+    exit_code = 9
+
+    def __init__(self, service: str, balancer: str, version: int):
+        self.service = service
+        super().__init__(
+            f"no route has the address {service} in version {version} of the "
+            f"configuration at {balancer}, which resets such flows; check the "
+            "address, and whether a later version has the route"
+        )
+
+
+class OtherAnswerVersion(BramleypinError):
+    """Raised when a daemon answers in a format that the tool cannot read."""
+
+    exit_code = 10
+
+    def __init__(self, peer: str, reason: str):
+        self.peer = peer
+        super().__init__(
+            f"{peer}: the answer is of another version ({reason}); use the "
+            "tool of the balancer's version, and ask a stream balancer"
+        )
+
+
 class ServiceFailed(BramleypinError):
     """Raised by the kernel when a service fails; ``cause`` is its error."""
 
--- a/src/bramleypin/internal/observe/metrics_http.py
+++ b/src/bramleypin/internal/observe/metrics_http.py
@@ -10,6 +10,9 @@
 PATH = b"/metrics"
 PREFIX = "bramleypin_"
 
+# Returns the answer to a request, given the query of its target.
+Page = typing.Callable[[bytes], http_server.Answer]
+
 
 class Collector:
     """Exposes the metrics of this process to the Prometheus client library."""
@@ -71,17 +74,28 @@
     needs=("metrics",),
 )
 class MetricsHttp(kernel_module.Service):
-    """Answers scrapes; without a configured address it does not listen."""
+    """Answers scrapes and requests for the pages that services add.
+
+    Without a configured address it does not listen.
+    """
 
     def __init__(self, kernel: kernel_module.Kernel):
         super().__init__(kernel)
         self._collector = Collector(kernel.get("metrics"))
         self._server = http_server.HttpServer(self._page, "metrics")
         self._listener = None
+        self._page_by_path: dict[bytes, Page] = {PATH: self._metrics_page}
+
+    def add_page(self, path: bytes, page: Page) -> None:
+        """Serve another page at a path."""
+        self._page_by_path[path] = page
+
+    def _page(self, target: bytes) -> http_server.Answer:
+        path, _, query = target.partition(b"?")
+        page = self._page_by_path.get(path)
+        return http_server.Answer(404) if page is None else page(query)
 
-    def _page(self, path: bytes) -> http_server.Answer:
-        if path != PATH:
-            return http_server.Answer(404)
+    def _metrics_page(self, _: bytes) -> http_server.Answer:
         from prometheus_client import exposition
 
         page = exposition.generate_latest(self._collector)
--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -56,6 +56,7 @@
         "bramleypin.internal.stream.owners",
         "bramleypin.internal.stream.trials",
         "bramleypin.internal.stream.balancer",
+        "bramleypin.internal.stream.placement_report",
     ),
     "stream_agent": (
         *_STREAM_MODULES,
--- a/src/bramleypin/internal/stream/candidates.py
+++ b/src/bramleypin/internal/stream/candidates.py
@@ -160,6 +160,12 @@
         count = len(view.endpoint_by_host(service))
         return count > len(view.ineligible_hosts(service))
 
+    def lacks_endpoints(self, service: str) -> bool:
+        """Return whether none is eligible and none awaits registration."""
+        return not self.any_eligible(
+            service
+        ) and self._view_manager.registrations_settled(service)
+
     @staticmethod
     def _choose(
         rings: _ServiceRings,
--- a/src/bramleypin/internal/stream/failing_hosts.py
+++ b/src/bramleypin/internal/stream/failing_hosts.py
@@ -57,10 +57,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """Hosts to rank last, and one to try first ("" for none)."""
+    """Hosts to rank last, and one to try first ("" for none).
+
+    ``ignored_hosts`` fail requests and are ranked like the others, because
+    too many fail.
+    """
 
     last_hosts: frozenset[str] = frozenset()
     trial_host: str = ""
+    ignored_hosts: frozenset[str] = frozenset()
 
     def rank_class(self, host: str, rank_class: int) -> int:
         """Return a host's class, given its class by load and state.
@@ -78,6 +83,36 @@
 NONE_FAILING = Choice()
 
 
+def choice_without_trial(
+    state_by_host: typing.Mapping[str, ReportedState], now_s: float
+) -> Choice:
+    """Return how a flow's candidates are ranked if none of them is tried."""
+    failing_hosts = frozenset(
+        host
+        for host, load in state_by_host.items()
+        if load.state == "failing"
+        and now_s - load.reported_s < FAILING_REPORT_AGE_S
+    )
+    if not failing_hosts:
+        return NONE_FAILING
+    if len(failing_hosts) > MAX_FAILING_FRACTION * len(state_by_host):
+        return Choice(ignored_hosts=failing_hosts)
+    return Choice(failing_hosts)
+
+
+class FailingHostsWithoutTrials:
+    """Chooses like ``FailingHosts``, but begins no trial and keeps nothing."""
+
+    def choose(
+        self,
+        state_by_host: typing.Mapping[str, ReportedState],
+        may_try: bool,
+        now_s: float,
+    ) -> Choice:
+        """Return how the candidates of one opening are ranked."""
+        return choice_without_trial(state_by_host, now_s)
+
+
 class FailingHosts:
     """Chooses among a flow's candidates; the cost is O(candidates).
 
@@ -104,29 +139,25 @@
         ``may_try`` is true if the opening may be lost and retried by its
         caller, as requests of idempotent routes are.
         """
-        failing_hosts = [
-            host
-            for host, load in state_by_host.items()
-            if load.state == "failing"
-            and now_s - load.reported_s < FAILING_REPORT_AGE_S
-        ]
-        if not failing_hosts:
-            return NONE_FAILING
-        if len(failing_hosts) > MAX_FAILING_FRACTION * len(state_by_host):
+        choice = choice_without_trial(state_by_host, now_s)
+        if choice.ignored_hosts:
             self._count(FAILING_IGNORED)
             _log.warn_throttled(
                 "too many failing",
                 "too many endpoints fail requests; all are used",
-                failing=len(failing_hosts),
+                failing=len(choice.ignored_hosts),
                 candidates=len(state_by_host),
             )
-            return NONE_FAILING
+        if not choice.last_hosts or not may_try:
+            return choice
         trial_host = ""
-        if may_try and self._random.random() < TRIAL_FRACTION * len(
-            failing_hosts
-        ):
+        if self._random.random() < TRIAL_FRACTION * len(choice.last_hosts):
+            # In the order of the candidates, so that runs can be repeated.
+            failing_hosts = [
+                host for host in state_by_host if host in choice.last_hosts
+            ]
             trial_host = self._take_trial(failing_hosts, now_s)
-        return Choice(frozenset(failing_hosts), trial_host)
+        return Choice(choice.last_hosts, trial_host)
 
     def _take_trial(self, hosts: list[str], now_s: float) -> str:
         """Return one of the hosts that is due for a trial, or ""."""
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -35,6 +35,13 @@
 FULL_TOLERANCE = 0.5
 # Maximum number of agents in one offer, including those it is passed on to.
 MAX_OFFERED_HOSTS = 3
+# Rank classes of endpoints; lower ones come first. ``failing_hosts`` has more.
+FREE_SLOT_CLASS = 0
+QUEUE_CLASS = 1
+NO_CAPACITY_CLASS = 2
+UNRESPONSIVE_CLASS = 4
+SILENT_CLASS = 5
+LEAVING_CLASS = 6
 
 REPORT_AGE = metrics.declare(
     "stream.report_age",
@@ -261,7 +268,18 @@
         tried_hosts: list[str],
         is_late: bool = False,
     ) -> list[str]:
-        """Return the candidates' hosts to offer a new flow to, best first.
+        """Return the candidates' hosts to offer a new flow to, best first."""
+        ranking = self.ranking(candidates, route, tried_hosts, is_late)
+        return [host for _, _, host in ranking[:MAX_OFFERED_HOSTS]]
+
+    def ranking(
+        self,
+        candidates: list[view_module.Endpoint],
+        route: view_module.Route,
+        tried_hosts: list[str],
+        is_late: bool = False,
+    ) -> list[tuple[int, float, str]]:
+        """Return the rank class, score and host of candidates, best first.
 
         Unresponsive hosts and hosts without capacity come last, and
         ``tried_hosts`` are left out. For a late request, only a free slot
@@ -305,7 +323,7 @@
             load_spread = max(requests_per_slot) - min(requests_per_slot)
             self._metrics.gauge(LOAD_SPREAD, round(load_spread, 2))
         ranked.sort()
-        return [host for _, _, host in ranked[:MAX_OFFERED_HOSTS]]
+        return ranked
 
     def reported_service(self, host: str) -> str:
         """Return the service reported by the agent on a host."""
@@ -350,21 +368,21 @@
     def _rank_class(self, load: AgentLoad, now_s: float, is_late: bool) -> int:
         """Return the class of an agent; lower classes are ranked first.
 
-        The classes are 0 for a free slot, 1 for queue space only, 2 for no
-        capacity, 4 for an unresponsive agent, 5 for a silent endpoint and 6
-        for an agent that is leaving. ``failing_hosts`` adds two more.
+        An unresponsive agent is one that did not answer an offer, a silent
+        endpoint one that does not answer its agent.
         """
         if load.state == "leaving":
-            return 6
+            return LEAVING_CLASS
         if load.state == "silent":
-            return 5
+            return SILENT_CLASS
         if load.unresponsive_until_s > now_s:
-            return 4
+            return UNRESPONSIVE_CLASS
         if load.lacks_capacity_for(is_late, now_s) or load.reached_cold_limit(
             now_s
         ):
-            return 2
+            return NO_CAPACITY_CLASS
         # An agent without a free slot passes the opening on while the offer
         # lists another host, so asking it first only adds delay.
         requests = load.estimate.running_requests(now_s)
-        return int(requests > load.slots - FULL_TOLERANCE)
+        has_free_slot = requests <= load.slots - FULL_TOLERANCE
+        return FREE_SLOT_CLASS if has_free_slot else QUEUE_CLASS
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -266,10 +266,7 @@
         is missing from the view.
         """
         opening.tried_hosts.clear()
-        none_eligible = not self._candidates.any_eligible(opening.service)
-        if none_eligible and self._view_manager.registrations_settled(
-            opening.service
-        ):
+        if self._candidates.lacks_endpoints(opening.service):
             service = route_choice.alternative_service(
                 opening.route, opening.flow, self._candidates.any_eligible
             )
--- a/src/bramleypin/internal/tool/output.py
+++ b/src/bramleypin/internal/tool/output.py
@@ -33,6 +33,8 @@
     6: "no daemon answered",
     7: "some daemons did not answer; what is shown is partial",
     8: "report burn --check: a service uses up its error budget too fast",
+    9: "placement: no route has the service address",
+    10: "placement: the balancer answered in another version of the format",
     130: "interrupted from the terminal",
 }
 EXIT_PARTIAL = 7
--- a/tests/cover/test_tool_errors.py
+++ b/tests/cover/test_tool_errors.py
@@ -75,6 +75,22 @@
     ("status --settings none.toml", 2, ("none.toml",)),
     ("status --settings s.toml --peer entry-1", 2, ("--peer", "7001")),
     ("trace", 2, ("argument",)),
+    ("placement 10.0.0.1:443 10.0.0.9:1025", 2, ("--metrics",)),
+    (
+        "placement 10.0.0.1 10.0.0.9:1025 --metrics 10.0.0.2:9102",
+        2,
+        ("SERVICE", "198.18.0.1:443"),
+    ),
+    (
+        "placement 10.0.0.1:443 tablet:1 --metrics 10.0.0.2:9102",
+        2,
+        ("CALLER", "'tablet:1'"),
+    ),
+    (
+        "placement 10.0.0.1:443 10.0.0.9:1025 --metrics 10.0.0.2:0",
+        2,
+        ("--metrics", "9102"),
+    ),
     ("nothing", 2, ("nothing",)),
 ]
 
@@ -167,6 +183,7 @@
             ("domain return",),
             ("status",),
             ("trace",),
+            ("placement",),
             ("report burn",),
         ]
     )
