Bound the searches that lack answers

Cause: after a loss of power, balancers with little processor time got no answers in time, asked all 47 agents for each flow and searched again every 0.4 s, which kept half of them busy for good. Change: a search without any answer is not widened, and a balancer repeats at most 100 searches a second for lack of answers. Ruled out: views (listings were complete after 0.04 s), exits (none).

--- a/src/bramleypin/internal/stream/lost_flows.py
+++ b/src/bramleypin/internal/stream/lost_flows.py
@@ -27,6 +27,10 @@
 # that start take about 0.5 s, while the caller's next transmission may be
 # 1.6 s away.
 UNANSWERED_DELAYS_S = (0.2, 0.4)
+# At most one search is repeated in this time because of missing answers.
+# Answers are also missing when this process lacks processor time, and then
+# more searches would keep it busy for good.
+UNANSWERED_INTERVAL_S = 0.01
 MAX_FLOWS = 5_000
 
 
@@ -63,6 +67,7 @@
         self._lost_by_flow: dict[segment.Flow, LostFlow] = {}
         # Times of the searches, as a heap; those of found flows stay in it.
         self._searches: list[tuple[float, segment.Flow]] = []
+        self._next_unanswered_s = float("-inf")
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
 
     def record(
@@ -79,9 +84,10 @@
         unanswered_searches = lost.unanswered_searches if lost else 0
         if search.settled or search.finds_restart:
             delay_s = self._delay_s(search, packet)
-        elif search.all_answered:
+        elif search.all_answered or now_s < self._next_unanswered_s:
             return
         else:
+            self._next_unanswered_s = now_s + UNANSWERED_INTERVAL_S
             delay_s = UNANSWERED_DELAYS_S[min(unanswered_searches, 1)]
             unanswered_searches += 1
         if delay_s <= 0:
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -237,7 +237,10 @@
         # at the endpoint whose answer it acknowledges.
         is_open = bool(search.waiting_packets)
         is_complete = search.asked_all or self._is_lost_in_restart(search)
-        if is_open and not is_complete and self._widen(search):
+        # Without any answer, this process or the network is overloaded, and
+        # asking all agents would add to that.
+        can_widen = search.answer_count > 0 and not is_complete
+        if is_open and can_widen and self._widen(search):
             return
         self._remove(search)
         if search.possible_hosts and search.waiting_packets:
--- a/tests/failures/test_power_loss.py
+++ b/tests/failures/test_power_loss.py
@@ -12,12 +12,15 @@
 import parameterized
 
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import lost_flows
 from bramleypin.internal.stream import peer_port
 from bramleypin.standins import stream_fleet
 from tests.failures import test_kept_flows
 from tests.failures import test_stream_flows
 
 ENDPOINTS = 24
+# Before the fifth transmission of a request, at 3.0 s.
+REQUEST_S = 2.9
 
 
 @contextlib.contextmanager
@@ -167,6 +170,31 @@
         self.assertEqual({"reset"}, test_stream_flows.outcome_kinds(outcomes))
         self.assertLess(max(item.seconds for item in outcomes), 2.6)
 
+    def test_searches_without_answers_are_bounded(self):
+        """Guards against searches that keep a balancer busy for good.
+
+        No agent answers, as with a balancer that has no processor time left
+        for the answers, while each of many flows is searched for.
+        """
+        counts: dict[str, int] = {}
+
+        async def scenario(fleet):
+            kept_flows = await test_kept_flows.start_kept_flows(
+                fleet, count=200, endpoints=ENDPOINTS, balancers=1
+            )
+            for agent in fleet.agent_by_name.values():
+                agent.kill()
+            await test_kept_flows.restart(*fleet.balancer_by_name.values())
+            await anyio.sleep(0.3)
+            with count_lookups(counts):
+                await test_kept_flows.request_on_each(kept_flows, REQUEST_S)
+
+        test_stream_flows.run_scenario(scenario)
+        # Each of the caller's four transmissions may start a search, which
+        # asks ten agents; the balancer repeats at most 100 a second.
+        repeated = REQUEST_S / lost_flows.UNANSWERED_INTERVAL_S
+        self.assertLessEqual(counts["lookups"], (4 * 200 + repeated) * 10)
+
 
 if __name__ == "__main__":
     unittest.main()
