Order waiting openings by urgency across balancers and refuse early

Cause: under shortage the waiting order ignored priority and shares, an agent's free slot went to the balancer that asked first, and a hopeless opening waited 1.2 s for its reset.

--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -167,7 +167,10 @@
         self._peers.send(
             offer.origin_host,
             frames.OfferAnswer(
-                offer.opening, outcome, reason, self._reports.current_report()
+                offer.opening,
+                outcome,
+                reason,
+                self._reports.current_report(offer.origin_host),
             ),
         )
 
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -185,10 +185,15 @@
     """Asks an agent to report its next free slot to the sender.
 
     The sender has a postponed opening for ``service``. The request holds for
-    one report, and only for a short time.
+    one report, and only for a short time. ``rank`` is that of the priority of
+    the sender's first opening, 0 for the highest, and ``deadline_ms`` the
+    time that it has left. A late opening has the rank ``slot_queue.LATE_RANK``.
+    The default is that of an older version and comes after all others.
     """
 
     service: str
+    rank: int = 255
+    deadline_ms: int = 0
 
 
 def encode(body: Message, packet: bytes = b"") -> bytes:
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -9,6 +9,7 @@
 from bramleypin.internal.observe import logs
 from bramleypin.internal import registry
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import stream_admission
 from bramleypin.internal.stream import view as view_module
 
 # A free slot is asked for once in this time, however many openings wait.
@@ -19,9 +20,6 @@
 DEFAULT_SERVICE_TIME_S = 0.05
 # The load in a report older than this is ignored.
 MAX_REPORT_AGE_S = 1.0
-# A report of missing capacity prevents offers until it is older than this.
-# Agents with a full queue report more often to the latest balancers to offer.
-MAX_FULL_REPORT_AGE_S = 0.15
 # An endpoint in another failure domain is chosen only if its expected answer
 # is earlier by this fraction of the latency objective, because traffic between
 # failure domains is charged.
@@ -66,7 +64,12 @@
         Late requests never queue, so they need a free slot.
         """
         running_requests = self.running_requests + self.offers_since_report
-        return self.queue_full or (is_late and running_requests >= self.slots)
+        limit = (
+            self.slots
+            if is_late
+            else stream_admission.request_limit(self.slots)
+        )
+        return self.queue_full or running_requests >= limit
 
 
 @SCORES.register("expected_time")
@@ -143,10 +146,12 @@
             )
         load.state = report.state
         load.reported_s = anyio.current_time()
-        load.slot_requested_s = float("-inf")
         load.offers_since_report = 0
         load.unresponsive_until_s = float("-inf")
-        if load.state == "ready" and not load.lacks_capacity_for(is_late=True):
+        if load.state == "ready" and not load.lacks_capacity_for(
+            is_late=False
+        ):
+            load.slot_requested_s = float("-inf")
             self.on_free_slot(host)
 
     def count_offer(self, host: str) -> None:
@@ -227,14 +232,18 @@
         return self.load_by_host[host].service
 
     def reports_no_capacity(self, host: str, is_late: bool) -> bool:
-        """Return whether a recent report shows no capacity for a request.
+        """Return whether a host is not known to have capacity for a request.
 
-        Late requests need a free slot; others may also be queued.
+        Late requests need a free slot; others may also be queued. The result
+        is true for an agent that does not respond, too. Both are asked for a
+        slot, and their report ends this state.
         """
         load = self.load_by_host[host]
-        age_s = anyio.current_time() - load.reported_s
-        return age_s < MAX_FULL_REPORT_AGE_S and load.lacks_capacity_for(
-            is_late
+        now_s = anyio.current_time()
+        if load.unresponsive_until_s > now_s:
+            return True
+        return now_s - load.reported_s < MAX_REPORT_AGE_S and (
+            load.cold_allowance == 0 or load.lacks_capacity_for(is_late)
         )
 
     def will_miss_objective(
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -10,19 +10,19 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
-from bramleypin.internal.stream import postponed
+from bramleypin.internal.stream import refusal
 from bramleypin.internal.stream import segment
+from bramleypin.internal.stream import slot_queue
 from bramleypin.internal.stream import ticker
 from bramleypin.internal.stream import view as view_module
+from bramleypin.internal.stream import waiting_order
 
 # An agent answers once its endpoint has accepted the flow, or passes the
 # opening on. Offers are not retransmitted: if one is lost, the next agent
 # is asked after this time, and the caller retransmits its opening packet.
 ANSWER_TIMEOUT_S = 0.06
 TICK_INTERVAL_S = 0.01
-# Callers abandon an opening after 1.4 s, so one that waits longer than this
-# could be accepted too late.
-MAX_OPENING_AGE_S = 1.2
+MAX_OPENING_AGE_S = waiting_order.MAX_OPENING_AGE_S
 # Time that a caller has waited before it transmits an opening packet for the
 # first, second and third time.
 AGE_BY_COPY_S = (0.0, 0.2, 0.6)
@@ -44,6 +44,18 @@
     "flows",
     "Openings reset, because no endpoint could take them.",
 )
+OPENINGS_NOT_IN_TIME = metrics.declare(
+    "stream.openings_not_in_time",
+    "counter",
+    "flows",
+    "Openings reset early, because they cannot be served in time.",
+)
+OPENINGS_WAITING = metrics.declare(
+    "stream.openings_waiting",
+    "gauge",
+    "flows",
+    "Openings that wait for a slot.",
+)
 OPENINGS_UNANSWERED = metrics.declare(
     "stream.openings_unanswered",
     "counter",
@@ -70,7 +82,10 @@
     latest. ``host`` is the agent that is expected to answer, or "" while the
     opening is postponed. ``next_offer_s`` is the time of the next offer.
     ``is_late`` is true if the request could no longer meet its latency
-    objective when it was last postponed.
+    objective when it was last postponed. ``rank`` is that of the route's
+    priority, or ``None`` if the service has a single one. ``is_repeated`` is
+    true if an opening of the caller was refused shortly before. ``reset_s`` is
+    the time at which a refused opening is reset.
     """
 
     flow: segment.Flow
@@ -86,6 +101,10 @@
         default_factory=list
     )
     is_late: bool = False
+    rank: int | None = None
+    is_repeated: bool = False
+    is_unanswered: bool = False
+    reset_s: float | None = None
 
     @property
     def open_at_caller(self) -> bool:
@@ -123,7 +142,11 @@
         self._loads = kernel.get("loads")
         self._metrics = kernel.get("metrics")
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
-        self._postponed = postponed.PostponedOpenings()
+        self._order = waiting_order.WaitingOrder()
+        self._ranks = waiting_order.PriorityRanks()
+        self._rates = refusal.ServiceRate(anyio.current_time())
+        self._refused_callers = refusal.RefusedCallers()
+        self._reset_spread = refusal.ResetSpread()
         self._peers.set_handler(frames.OfferAnswer, self._on_offer_answer)
         self._loads.on_free_slot = self._offer_postponed
 
@@ -143,6 +166,7 @@
         flow = packet.flow_from_caller()
         if flow in self.opening_by_flow:
             return
+        now_s = anyio.current_time()
         copies = min(packet.acknowledged, len(AGE_BY_COPY_S) - 1)
         opening = Opening(
             flow=flow,
@@ -150,6 +174,9 @@
             service=route.service_for(flow),
             route=route,
             started_s=arrived_s - AGE_BY_COPY_S[copies],
+            is_repeated=self._refused_callers.includes(
+                flow.caller_host, now_s
+            ),
         )
         self.opening_by_flow[flow] = opening
         self._offer(opening)
@@ -175,11 +202,13 @@
         slow has accepted it after its agent had passed the opening on, or the
         agent's answer was lost.
         """
-        self._postponed.discard(opening.flow)
         if opening.open_at_caller:
             self._remove(opening)
             self.on_open_elsewhere(opening)
             return True
+        if opening.reset_s is not None:
+            self._reset(opening)
+            return True
         if not self._update_route(opening):
             self._refuse(opening, "no route")
             return True
@@ -199,9 +228,17 @@
         hosts = self._loads.ranked_hosts(
             candidates, opening.route, opening.tried_hosts, is_late
         )
-        if not hosts or self._loads.reports_no_capacity(hosts[0], is_late):
+        if free_host in hosts:
+            # Its agent keeps the slot for this balancer.
+            hosts = [free_host]
+        if (
+            not hosts
+            or self._loads.reports_no_capacity(hosts[0], is_late)
+            or self._offer_more_urgent(opening, is_late, hosts[0], now_s)
+        ):
             self._postpone(opening, now_s, is_late, hosts)
             return False
+        self._order.discard(opening.flow)
         self._last_offer_number = (self._last_offer_number + 1) & 0x7FFFFFFF
         opening.offer_numbers.append(self._last_offer_number)
         self._opening_by_offer[self._last_offer_number] = opening
@@ -228,6 +265,20 @@
         self._loads.count_offer(opening.host)
         return True
 
+    def _offer_more_urgent(
+        self, opening: Opening, is_late: bool, host: str, now_s: float
+    ) -> bool:
+        """Offer the first opening of the service in place of a later one.
+
+        Returns false if none precedes ``opening``.
+        """
+        opening.is_late = is_late
+        first = self._order.pop_before(opening, now_s)
+        if first is None:
+            return False
+        self._offer(first, host)
+        return True
+
     def _update_route(self, opening: Opening) -> bool:
         """Apply the route in force to an opening; false if there is none.
 
@@ -238,6 +289,9 @@
         route = configuration.route_by_address.get(address)
         if route is None:
             return False
+        opening.rank = self._ranks.rank(
+            configuration, opening.service, route.priority
+        )
         if route is not opening.route:
             opening.route = route
             service = route.service_for(opening.flow)
@@ -256,31 +310,73 @@
         is missing from the view.
         """
         opening.tried_hosts.clear()
-        none_eligible = not self._candidates.any_eligible(opening.service)
-        if none_eligible and self._view_manager.registrations_settled(
-            opening.service
-        ):
-            self._refuse(opening, "no endpoint in service")
-            return
+        if not self._candidates.any_eligible(opening.service):
+            self._rates.record_no_endpoint(opening.service, now_s)
+            if self._view_manager.registrations_settled(opening.service):
+                self._refuse(opening, "no endpoint in service")
+                return
         opening.host = ""
         opening.is_late = is_late
         opening.next_offer_s = now_s + (
             LATE_RETRY_INTERVAL_S if is_late else RETRY_INTERVAL_S
         )
-        self._postponed.add(opening)
+        if self._cannot_be_served(opening, now_s):
+            self._metrics.count(OPENINGS_NOT_IN_TIME)
+            self._refuse(opening, "cannot be served in time")
+            return
+        self._order.add(opening, now_s)
+        self._record_waiting(opening.service, now_s)
         for host in hosts:
-            if self._loads.record_waiting(host):
-                self._peers.send(host, frames.SlotRequest(opening.service))
+            self._request_slot(opening.service, host, now_s)
+
+    def _cannot_be_served(self, opening: Opening, now_s: float) -> bool:
+        """Return whether an opening's caller surely gives up before its turn.
+
+        An agent that has not answered an offer may still take the opening.
+        """
+        return (
+            not opening.is_unanswered
+            and self._rates.cannot_serve(
+                opening.service,
+                self._order.count_ahead(opening),
+                MAX_OPENING_AGE_S - (now_s - opening.started_s),
+                now_s,
+            )
+            and not self._view_manager.may_miss_registrations()
+        )
+
+    def _record_waiting(self, service: str, now_s: float) -> None:
+        waiting_count = self._order.waiting_count(service)
+        self._rates.record_waiting(service, waiting_count, now_s)
+        self._metrics.gauge(OPENINGS_WAITING, len(self._order))
+
+    def _request_slot(self, service: str, host: str, now_s: float) -> None:
+        """Ask an agent to tell of a slot for the service's first opening."""
+        first = self._order.first(service, now_s)
+        if first is None or not self._loads.record_waiting(host):
+            return
+        left_s = waiting_order.deadline_s(first) - now_s
+        rank = slot_queue.LATE_RANK if first.is_late else first.rank or 0
+        request = frames.SlotRequest(service, rank, round(left_s * 1000))
+        self._peers.send(host, request)
 
     def _offer_postponed(self, host: str) -> None:
-        """Offer postponed openings after an endpoint reported a free slot."""
+        """Offer waiting openings after an endpoint reported capacity."""
         service = self._loads.reported_service(host)
-        while len(self._postponed) and not self._loads.reports_no_capacity(
-            host, is_late=True
-        ):
-            opening = self._postponed.pop_next(service)
-            if opening is None or not self._offer(opening, host):
-                return
+        now_s = anyio.current_time()
+        while len(self._order):
+            opening = self._order.first(service, now_s)
+            if opening is None or self._loads.reports_no_capacity(
+                host, opening.is_late
+            ):
+                break
+            was_late = opening.is_late
+            self._order.discard(opening.flow)
+            # The next opening may use a slot that this one is too late for.
+            if not self._offer(opening, host) and was_late == opening.is_late:
+                break
+        self._record_waiting(service, now_s)
+        self._request_slot(service, host, now_s)
 
     def _on_offer_answer(
         self, message: frames.OfferAnswer, _: bytes, host: str
@@ -292,7 +388,10 @@
         if message.outcome == "taken":
             self._remove(opening)
             self._metrics.count(OPENINGS_TAKEN)
-            waited_s = anyio.current_time() - opening.started_s
+            now_s = anyio.current_time()
+            self._rates.record_taken(opening.service, now_s)
+            self._order.record_slot(opening, now_s)
+            waited_s = now_s - opening.started_s
             self._metrics.observe(OPENING_WAIT, waited_s)
             _log.info(
                 "opening taken",
@@ -306,7 +405,10 @@
                 revision=self._view_manager.view.revision,
             )
             self.on_taken(opening, host)
-        elif message.opening != opening.offer_numbers[-1]:
+        elif (
+            message.opening != opening.offer_numbers[-1]
+            or opening.reset_s is not None
+        ):
             return
         elif message.outcome == "passed":
             opening.host = message.reason
@@ -323,7 +425,10 @@
             self._offer(opening)
 
     def _refuse(self, opening: Opening, reason: str) -> None:
-        self._remove(opening)
+        """Reset an opening soon; it is offered to no agent any more."""
+        now_s = anyio.current_time()
+        self._order.discard(opening.flow)
+        self._refused_callers.record(opening.flow.caller_host, now_s)
         self._metrics.count(OPENINGS_REFUSED)
         _log.warn_throttled(
             f"reset {opening.service}",
@@ -333,11 +438,19 @@
             tried=",".join(opening.tried_hosts),
             revision=self._view_manager.view.revision,
         )
+        opening.host = ""
+        opening.reset_s = now_s + self._reset_spread.delay_s(now_s)
+        opening.next_offer_s = opening.reset_s
+        if opening.reset_s <= now_s:
+            self._reset(opening)
+
+    def _reset(self, opening: Opening) -> None:
+        self._remove(opening)
         self.on_refused(opening)
 
     def _remove(self, opening: Opening) -> None:
         self.opening_by_flow.pop(opening.flow, None)
-        self._postponed.discard(opening.flow)
+        self._order.discard(opening.flow)
         for number in opening.offer_numbers:
             self._opening_by_offer.pop(number, None)
 
@@ -357,5 +470,6 @@
     def _offer_again(self, opening: Opening) -> None:
         if opening.host:
             self._metrics.count(OPENINGS_UNANSWERED)
+            opening.is_unanswered = True
             self._loads.mark_unresponsive(opening.host)
         self._offer(opening)
--- a/src/bramleypin/internal/stream/reports.py
+++ b/src/bramleypin/internal/stream/reports.py
@@ -3,9 +3,12 @@
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
+from bramleypin.internal.observe import logs
+from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
 from bramleypin.internal.stream import recent_hosts
+from bramleypin.internal.stream import slot_queue
 from bramleypin.internal.stream import stream_admission
 
 REPORT_INTERVAL_S = 0.1
@@ -15,12 +18,6 @@
 # The others are told of a changed load in this interval. A balancer ignores
 # reports that are older than 1 s.
 REFRESH_INTERVAL_S = 0.8
-# Time for which a balancer is told of a free slot that it asked for. It asks
-# again while its openings wait.
-SLOT_REQUEST_AGE_S = 0.3
-# A slot that a balancer was told of and did not use is offered to the next one
-# after this time.
-SLOT_OFFER_S = 0.02
 # Balancers that sent no frame for this long receive no more reports.
 RECIPIENT_TIMEOUT_S = 3.0
 # Large fleets have hundreds of balancers; an agent reports only to the most
@@ -28,6 +25,15 @@
 MAX_RECIPIENTS = 32
 MAX_OFFERING_RECIPIENTS = 8
 
+SLOT_REQUESTS_INVALID = metrics.declare(
+    "stream.slot_requests_invalid",
+    "counter",
+    "messages",
+    "Requests for a slot with a rank or deadline out of range.",
+)
+
+_log = logs.get("reports")
+
 
 def _capacity(report: frames.Report) -> tuple[bool, bool, bool, str]:
     """Return what decides whether an endpoint is offered a new flow."""
@@ -62,7 +68,7 @@
         self._last_report: frames.Report | None = None
         self._refreshed_report: frames.Report | None = None
         self._refreshed_s = float("-inf")
-        self._waiting = recent_hosts.RecentHosts(SLOT_REQUEST_AGE_S)
+        self._slot_queue = slot_queue.SlotQueue()
         self._slot_freed = anyio.Event()
         self._admission.flows.on_request_end = self._on_request_end
         self._peers.set_handler(frames.SlotRequest, self._on_slot_request)
@@ -75,18 +81,26 @@
         """Record that a balancer has offered an opening."""
         self._recipients.record(host)
         self._offering.record(host)
+        self._slot_queue.record_offer(host)
 
-    def current_report(self) -> frames.Report:
-        """Return a report of the endpoint's current load and state."""
+    def current_report(self, host: str = "") -> frames.Report:
+        """Return a report of the endpoint's current load and state.
+
+        A slot that another balancer than ``host`` has been told of counts as
+        taken.
+        """
         flows = self._admission.flows
         slots = self._admission.slots()
+        running_requests = flows.running_requests + self._slot_queue.promised(
+            anyio.current_time(), host
+        )
         return frames.Report(
             self.kernel.settings.host,
             self.kernel.settings.service,
-            flows.running_requests,
+            running_requests,
             slots,
             round(flows.service_time_s, 4),
-            flows.running_requests >= stream_admission.request_limit(slots),
+            running_requests >= stream_admission.request_limit(slots),
             self._admission.cold_allowance(),
             self._admission.state(),
             self._view_manager.view.revision,
@@ -122,33 +136,65 @@
     def _on_slot_request(
         self, message: frames.SlotRequest, _: bytes, host: str
     ) -> None:
-        self._waiting.record(host)
+        if not slot_queue.is_valid(message.rank, message.deadline_ms):
+            self._metrics.count(SLOT_REQUESTS_INVALID)
+            _log.warn_throttled(
+                "slot request",
+                "slot request without valid urgency",
+                host=host,
+                rank=message.rank,
+                deadline_ms=message.deadline_ms,
+            )
+        self._slot_queue.record(
+            host, message.rank, message.deadline_ms, anyio.current_time()
+        )
         self._slot_freed.set()
 
     def _on_request_end(self) -> None:
         self._slot_freed.set()
 
     async def _offer_free_slots(self) -> None:
-        """Tell as many waiting balancers as there are free slots.
+        """Tell the most urgent balancers of the slots that become free.
 
         If all of them were told, each would offer an opening for each slot.
         """
         while True:
-            await self._slot_freed.wait()
+            timeout_s = None
+            if len(self._slot_queue):
+                # Promises end, and a cold endpoint may accept more requests.
+                timeout_s = slot_queue.PROMISE_S
+            with anyio.move_on_after(timeout_s):
+                await self._slot_freed.wait()
             self._slot_freed = anyio.Event()
-            waiting_hosts = self._waiting.oldest_first()
-            if not waiting_hosts:
-                continue
-            flows = self._admission.flows
-            free_slots = self._admission.slots() - flows.running_requests
-            if free_slots <= 0:
-                continue
-            message = frames.LoadReport(self.current_report())
-            for host in waiting_hosts[:free_slots]:
-                self._waiting.forget(host)
-                self._peers.send(host, message)
-            await anyio.sleep(SLOT_OFFER_S)
-            self._slot_freed.set()
+            self._promise_slots(anyio.current_time())
+
+    def _promise_slots(self, now_s: float) -> None:
+        """Promise each free slot to a balancer, and report it to them."""
+        endpoint = self._admission.endpoint()
+        cold_allowance = self._admission.cold_allowance()
+        if (
+            endpoint is None
+            or endpoint.draining
+            or cold_allowance == 0
+            or self._admission.state() != "ready"
+        ):
+            return
+        running_requests = self._admission.flows.running_requests
+        room = int(
+            stream_admission.request_limit(endpoint.slots) - running_requests
+        )
+        free_slots = max(0, endpoint.slots - running_requests)
+        if cold_allowance > 0:
+            room = min(room, cold_allowance)
+            free_slots = min(free_slots, cold_allowance)
+        hosts = []
+        while host := self._slot_queue.pop(
+            free_slots, room - free_slots, now_s
+        ):
+            hosts.append(host)
+        for host in hosts:
+            report = self.current_report(host)
+            self._peers.send(host, frames.LoadReport(report))
 
     def send(self, report: frames.Report) -> None:
         """Send a report to the balancers that sent frames recently."""
