--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -164,15 +164,9 @@
         )
 
     def _reply(self, offer: frames.Offer, outcome: str, reason: str) -> None:
-        self._peers.send(
-            offer.origin_host,
-            frames.OfferAnswer(
-                offer.opening,
-                outcome,
-                reason,
-                self._reports.current_report(offer.origin_host),
-            ),
-        )
+        report = self._reports.current_report(offer.origin_host)
+        answer = frames.OfferAnswer(offer.opening, outcome, reason, report)
+        self._peers.send(offer.origin_host, answer)
 
     async def _pass_on_unanswered(self) -> None:
         """Pass on openings that the endpoint does not answer in time."""
--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -187,8 +187,9 @@
     The sender has a postponed opening for ``service``. The request holds for
     one report, and only for a short time. ``rank`` is that of the priority of
     the sender's first opening, 0 for the highest, and ``deadline_ms`` the
-    time that it has left. A late opening has the rank ``slot_queue.LATE_RANK``.
-    The default is that of an older version and comes after all others.
+    time that it has left. The rank of a late opening is
+    ``slot_queue.LATE_RANK``. The default is that of an older version and
+    comes after all others.
     """
 
     service: str
--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -270,6 +270,23 @@
         )
         return fastest_s <= latency_objective_s < age_s + fastest_s
 
+    def will_queue_too_long(
+        self, host: str, age_s: float, latency_objective_s: float
+    ) -> bool:
+        """Return whether a request would miss its objective in a queue.
+
+        The result is false if the host has a free slot, or if the objective
+        is 0 or shorter than the service time.
+        """
+        load = self.load_by_host[host]
+        queued = load.running_requests + load.offers_since_report + 1
+        queued -= load.slots
+        service_time_s = load.service_time_s or DEFAULT_SERVICE_TIME_S
+        if queued <= 0 or latency_objective_s < service_time_s:
+            return False
+        expected_s = service_time_s * (1 + queued / load.slots)
+        return latency_objective_s < age_s + expected_s
+
     def _rank_class(self, load: AgentLoad, now_s: float, is_late: bool) -> int:
         """Return the class of an agent; lower classes are ranked first.
 
--- a/src/bramleypin/internal/stream/openings.py
+++ b/src/bramleypin/internal/stream/openings.py
@@ -1,28 +1,27 @@
 """Opens flows by offering opening packets to one agent after another."""
 
-import dataclasses
 import typing
 
 import anyio
 
 from bramleypin.internal import kernel as kernel_module
 from bramleypin.internal.observe import logs
-from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
+from bramleypin.internal.stream import opening as opening_module
+from bramleypin.internal.stream import opening_metrics
 from bramleypin.internal.stream import refusal
 from bramleypin.internal.stream import segment
-from bramleypin.internal.stream import slot_queue
 from bramleypin.internal.stream import ticker
 from bramleypin.internal.stream import view as view_module
-from bramleypin.internal.stream import waiting_order
+from bramleypin.internal.stream import waiting_openings
 
 # An agent answers once its endpoint has accepted the flow, or passes the
 # opening on. Offers are not retransmitted: if one is lost, the next agent
 # is asked after this time, and the caller retransmits its opening packet.
 ANSWER_TIMEOUT_S = 0.06
 TICK_INTERVAL_S = 0.01
-MAX_OPENING_AGE_S = waiting_order.MAX_OPENING_AGE_S
+MAX_OPENING_AGE_S = opening_module.MAX_OPENING_AGE_S
 # Time that a caller has waited before it transmits an opening packet for the
 # first, second and third time.
 AGE_BY_COPY_S = (0.0, 0.2, 0.6)
@@ -35,85 +34,11 @@
 # Maximum number of a flow's packets that are queued while it is opened.
 MAX_WAITING_PACKETS = 8
 
-OPENINGS_TAKEN = metrics.declare(
-    "stream.openings_taken", "counter", "flows", "Openings an agent took."
-)
-OPENINGS_REFUSED = metrics.declare(
-    "stream.openings_refused",
-    "counter",
-    "flows",
-    "Openings reset, because no endpoint could take them.",
-)
-OPENINGS_NOT_IN_TIME = metrics.declare(
-    "stream.openings_not_in_time",
-    "counter",
-    "flows",
-    "Openings reset early, because they cannot be served in time.",
-)
-OPENINGS_WAITING = metrics.declare(
-    "stream.openings_waiting",
-    "gauge",
-    "flows",
-    "Openings that wait for a slot.",
-)
-OPENINGS_UNANSWERED = metrics.declare(
-    "stream.openings_unanswered",
-    "counter",
-    "offers",
-    "Offers of an opening that an agent did not answer in time.",
-)
-
-OPENING_WAIT = metrics.declare(
-    "stream.opening_wait",
-    "histogram",
-    "seconds",
-    "How long callers waited until an agent took their opening.",
-)
+Opening = opening_module.Opening
 
 _log = logs.get("openings")
 
 
-@dataclasses.dataclass(slots=True)
-class Opening:
-    """An opening that no agent has accepted yet.
-
-    Each offer has a number of its own, so that the answer to an earlier offer
-    is not mistaken for one to the latest. ``offer_numbers`` ends with the
-    latest. ``host`` is the agent that is expected to answer, or "" while the
-    opening is postponed. ``next_offer_s`` is the time of the next offer.
-    ``is_late`` is true if the request could no longer meet its latency
-    objective when it was last postponed. ``rank`` is that of the route's
-    priority, or ``None`` if the service has a single one. ``is_repeated`` is
-    true if an opening of the caller was refused shortly before. ``reset_s`` is
-    the time at which a refused opening is reset.
-    """
-
-    flow: segment.Flow
-    packet: segment.Segment
-    service: str
-    route: view_module.Route
-    started_s: float
-    next_offer_s: float = 0.0
-    host: str = ""
-    offer_numbers: list[int] = dataclasses.field(default_factory=list)
-    tried_hosts: list[str] = dataclasses.field(default_factory=list)
-    waiting_packets: list[segment.Segment] = dataclasses.field(
-        default_factory=list
-    )
-    is_late: bool = False
-    rank: int | None = None
-    is_repeated: bool = False
-    is_unanswered: bool = False
-    reset_s: float | None = None
-
-    @property
-    def open_at_caller(self) -> bool:
-        """Whether the caller has acknowledged an endpoint's answer."""
-        return any(
-            packet.ack and not packet.rst for packet in self.waiting_packets
-        )
-
-
 @kernel_module.service(
     "openings",
     roles=("stream_balancer",),
@@ -142,10 +67,9 @@
         self._loads = kernel.get("loads")
         self._metrics = kernel.get("metrics")
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
-        self._order = waiting_order.WaitingOrder()
-        self._ranks = waiting_order.PriorityRanks()
-        self._rates = refusal.ServiceRate(anyio.current_time())
-        self._refused_callers = refusal.RefusedCallers()
+        self._waiting = waiting_openings.WaitingOpenings(anyio.current_time())
+        self._order = self._waiting.order
+        self._refusals = refusal.RecentRefusals()
         self._reset_spread = refusal.ResetSpread()
         self._peers.set_handler(frames.OfferAnswer, self._on_offer_answer)
         self._loads.on_free_slot = self._offer_postponed
@@ -174,10 +98,14 @@
             service=route.service_for(flow),
             route=route,
             started_s=arrived_s - AGE_BY_COPY_S[copies],
-            is_repeated=self._refused_callers.includes(
+            is_repeated=self._refusals.includes_caller(
                 flow.caller_host, now_s
             ),
         )
+        if self._refusals.includes_opening(flow, packet.sequence, now_s):
+            # This copy has crossed the reset on its way.
+            self.on_refused(opening)
+            return
         self.opening_by_flow[flow] = opening
         self._offer(opening)
         self._ticker.wake()
@@ -231,6 +159,12 @@
         if free_host in hosts:
             # Its agent keeps the slot for this balancer.
             hosts = [free_host]
+        if hosts and not is_late:
+            is_late = self._loads.will_queue_too_long(
+                hosts[0],
+                now_s - opening.started_s,
+                opening.route.latency_objective_s,
+            )
         if (
             not hosts
             or self._loads.reports_no_capacity(hosts[0], is_late)
@@ -266,7 +200,11 @@
         return True
 
     def _offer_more_urgent(
-        self, opening: Opening, is_late: bool, host: str, now_s: float
+        self,
+        opening: Opening,
+        is_late: bool,
+        host: str,
+        now_s: float,
     ) -> bool:
         """Offer the first opening of the service in place of a later one.
 
@@ -289,19 +227,21 @@
         route = configuration.route_by_address.get(address)
         if route is None:
             return False
-        opening.rank = self._ranks.rank(
-            configuration, opening.service, route.priority
-        )
         if route is not opening.route:
             opening.route = route
             service = route.service_for(opening.flow)
             if service != opening.service:
                 opening.service = service
                 opening.tried_hosts.clear()
+        self._waiting.update_rank(opening, configuration)
         return True
 
     def _postpone(
-        self, opening: Opening, now_s: float, is_late: bool, hosts: list[str]
+        self,
+        opening: Opening,
+        now_s: float,
+        is_late: bool,
+        hosts: list[str],
     ) -> None:
         """Postpone an opening until an endpoint may have capacity.
 
@@ -311,7 +251,7 @@
         """
         opening.tried_hosts.clear()
         if not self._candidates.any_eligible(opening.service):
-            self._rates.record_no_endpoint(opening.service, now_s)
+            self._waiting.record_no_endpoint(opening.service, now_s)
             if self._view_manager.registrations_settled(opening.service):
                 self._refuse(opening, "no endpoint in service")
                 return
@@ -320,51 +260,27 @@
         opening.next_offer_s = now_s + (
             LATE_RETRY_INTERVAL_S if is_late else RETRY_INTERVAL_S
         )
-        if self._cannot_be_served(opening, now_s):
-            self._metrics.count(OPENINGS_NOT_IN_TIME)
+        missing = self._view_manager.may_miss_registrations()
+        if not missing and self._waiting.cannot_be_served(opening, now_s):
+            self._metrics.count(opening_metrics.OPENINGS_NOT_IN_TIME)
             self._refuse(opening, "cannot be served in time")
             return
-        self._order.add(opening, now_s)
-        self._record_waiting(opening.service, now_s)
+        self._waiting.add(opening, now_s)
+        self._metrics.gauge(opening_metrics.OPENINGS_WAITING, len(self._order))
         for host in hosts:
             self._request_slot(opening.service, host, now_s)
 
-    def _cannot_be_served(self, opening: Opening, now_s: float) -> bool:
-        """Return whether an opening's caller surely gives up before its turn.
-
-        An agent that has not answered an offer may still take the opening.
-        """
-        return (
-            not opening.is_unanswered
-            and self._rates.cannot_serve(
-                opening.service,
-                self._order.count_ahead(opening),
-                MAX_OPENING_AGE_S - (now_s - opening.started_s),
-                now_s,
-            )
-            and not self._view_manager.may_miss_registrations()
-        )
-
-    def _record_waiting(self, service: str, now_s: float) -> None:
-        waiting_count = self._order.waiting_count(service)
-        self._rates.record_waiting(service, waiting_count, now_s)
-        self._metrics.gauge(OPENINGS_WAITING, len(self._order))
-
     def _request_slot(self, service: str, host: str, now_s: float) -> None:
         """Ask an agent to tell of a slot for the service's first opening."""
-        first = self._order.first(service, now_s)
-        if first is None or not self._loads.record_waiting(host):
-            return
-        left_s = waiting_order.deadline_s(first) - now_s
-        rank = slot_queue.LATE_RANK if first.is_late else first.rank or 0
-        request = frames.SlotRequest(service, rank, round(left_s * 1000))
-        self._peers.send(host, request)
+        request = self._waiting.slot_request(service, now_s)
+        if request is not None and self._loads.record_waiting(host):
+            self._peers.send(host, request)
 
     def _offer_postponed(self, host: str) -> None:
         """Offer waiting openings after an endpoint reported capacity."""
         service = self._loads.reported_service(host)
         now_s = anyio.current_time()
-        while len(self._order):
+        for _ in range(self._order.waiting_count(service)):
             opening = self._order.first(service, now_s)
             if opening is None or self._loads.reports_no_capacity(
                 host, opening.is_late
@@ -375,7 +291,7 @@
             # The next opening may use a slot that this one is too late for.
             if not self._offer(opening, host) and was_late == opening.is_late:
                 break
-        self._record_waiting(service, now_s)
+        self._waiting.record_backlog(service, now_s)
         self._request_slot(service, host, now_s)
 
     def _on_offer_answer(
@@ -387,12 +303,11 @@
             return
         if message.outcome == "taken":
             self._remove(opening)
-            self._metrics.count(OPENINGS_TAKEN)
+            self._metrics.count(opening_metrics.OPENINGS_TAKEN)
             now_s = anyio.current_time()
-            self._rates.record_taken(opening.service, now_s)
-            self._order.record_slot(opening, now_s)
+            self._waiting.record_taken(opening, now_s)
             waited_s = now_s - opening.started_s
-            self._metrics.observe(OPENING_WAIT, waited_s)
+            self._metrics.observe(opening_metrics.OPENING_WAIT, waited_s)
             _log.info(
                 "opening taken",
                 flow=str(opening.flow),
@@ -428,8 +343,8 @@
         """Reset an opening soon; it is offered to no agent any more."""
         now_s = anyio.current_time()
         self._order.discard(opening.flow)
-        self._refused_callers.record(opening.flow.caller_host, now_s)
-        self._metrics.count(OPENINGS_REFUSED)
+        self._refusals.record(opening.flow, opening.packet.sequence, now_s)
+        self._metrics.count(opening_metrics.OPENINGS_REFUSED)
         _log.warn_throttled(
             f"reset {opening.service}",
             "opening reset",
@@ -469,7 +384,7 @@
 
     def _offer_again(self, opening: Opening) -> None:
         if opening.host:
-            self._metrics.count(OPENINGS_UNANSWERED)
+            self._metrics.count(opening_metrics.OPENINGS_UNANSWERED)
             opening.is_unanswered = True
             self._loads.mark_unresponsive(opening.host)
         self._offer(opening)
--- a/src/bramleypin/internal/stream/waiting_order.py
+++ b/src/bramleypin/internal/stream/waiting_order.py
@@ -12,18 +12,12 @@
 import heapq
 import itertools
 import math
-import typing
 
+from bramleypin.internal.stream import opening as opening_module
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import slot_queue
 from bramleypin.internal.stream import view as view_module
 
-if typing.TYPE_CHECKING:
-    from bramleypin.internal.stream import openings
-
-# Callers abandon an opening after 1.4 s, so one that waits longer than this
-# could be accepted too late.
-MAX_OPENING_AGE_S = 1.2
 # Added to the deadline of an opening whose caller was refused recently. Half a
 # priority step: such an opening stays ahead of the next lower priority.
 REPEAT_STEP_S = slot_queue.PRIORITY_STEP_S / 2
@@ -89,7 +83,7 @@
     }
 
 
-def deadline_s(opening: "openings.Opening") -> float:
+def deadline_s(opening: opening_module.Opening) -> float:
     """Return when an opening should be taken, without its rank.
 
     For a service with several priorities and an opening that can still meet
@@ -97,7 +91,7 @@
     opening is reset, so that the order is that of age.
     """
     objective_s = opening.route.latency_objective_s
-    wait_s = MAX_OPENING_AGE_S
+    wait_s = opening_module.MAX_OPENING_AGE_S
     if opening.rank is not None and not opening.is_late:
         if math.isfinite(objective_s) and 0 < objective_s < wait_s:
             wait_s = objective_s
@@ -106,7 +100,7 @@
     return opening.started_s + wait_s
 
 
-def due_time_s(opening: "openings.Opening") -> float:
+def due_time_s(opening: opening_module.Opening) -> float:
     """Return the time by which an opening is ordered among its group.
 
     A rank adds a step to the deadline, so a higher priority delays a lower one
@@ -160,7 +154,7 @@
 class _Entry:
     """A waiting opening; heaps hold removed ones until they reach the top."""
 
-    opening: "openings.Opening"
+    opening: opening_module.Opening
     service: str
     is_late: bool
     due_s: float
@@ -311,7 +305,7 @@
         order = self._order_by_service.get(service)
         return 0 if order is None else order.waiting_count
 
-    def add(self, opening: "openings.Opening", now_s: float) -> None:
+    def add(self, opening: opening_module.Opening, now_s: float) -> None:
         """Add an opening, or move it to the place that it has now."""
         entry = self._entry_by_flow.get(opening.flow)
         due_s = due_time_s(opening)
@@ -334,7 +328,9 @@
         if entry is not None:
             self._order_by_service[entry.service].remove(entry)
 
-    def first(self, service: str, now_s: float) -> "openings.Opening | None":
+    def first(
+        self, service: str, now_s: float
+    ) -> opening_module.Opening | None:
         """Return the first opening of a service."""
         order = self._order_by_service.get(service)
         entry = None if order is None else order.first(now_s)[0]
@@ -342,7 +338,7 @@
 
     def pop_next(
         self, service: str, now_s: float
-    ) -> "openings.Opening | None":
+    ) -> opening_module.Opening | None:
         """Remove and return the first opening of a service."""
         opening = self.first(service, now_s)
         if opening is not None:
@@ -350,8 +346,8 @@
         return opening
 
     def pop_before(
-        self, opening: "openings.Opening", now_s: float
-    ) -> "openings.Opening | None":
+        self, opening: opening_module.Opening, now_s: float
+    ) -> opening_module.Opening | None:
         """Remove and return the first opening, if it precedes another one."""
         order = self._order_by_service.get(opening.service)
         entry, exceeds = (None, True) if order is None else order.first(now_s)
@@ -370,7 +366,7 @@
         self.discard(entry.opening.flow)
         return entry.opening
 
-    def count_ahead(self, opening: "openings.Opening") -> int:
+    def count_ahead(self, opening: opening_module.Opening) -> int:
         """Return how many waiting openings surely come before another one.
 
         Shares are left out of account.
@@ -380,7 +376,9 @@
             return 0
         return order.count_ahead(opening.is_late, due_time_s(opening))
 
-    def record_slot(self, opening: "openings.Opening", now_s: float) -> None:
+    def record_slot(
+        self, opening: opening_module.Opening, now_s: float
+    ) -> None:
         """Record that an opening got a slot."""
         self._order_by_service[opening.service].shares.record(
             opening.flow.caller_host, opening.route.name, now_s
--- a/tests/cover/test_stream_openings.py
+++ b/tests/cover/test_stream_openings.py
@@ -46,6 +46,9 @@
     def will_miss_objective(self, candidates, age_s, latency_objective_s):
         return False
 
+    def will_queue_too_long(self, host, age_s, latency_objective_s):
+        return False
+
     def count_offer(self, host):
         """Ignore an offer."""
 
