Make two shortage tests fail without the rule that they guard

Cause: the test of priorities passed with ranks switched off, because the longer objective alone gave an advantage, and the test of a route's share was too short to exceed it. Change: equal objectives, more openings; the bench counts offers of openings that were offered at all.

--- a/src/bramleypin/bench/shortage.py
+++ b/src/bramleypin/bench/shortage.py
@@ -16,7 +16,6 @@
 
 from bramleypin.bench import rows
 from bramleypin.internal.stream import frames
-from bramleypin.internal.stream import openings
 from bramleypin.internal.stream import peer_port
 from bramleypin.standins import stream_fleet
 from bramleypin.standins import virtual_network
@@ -57,19 +56,22 @@
 
 @dataclasses.dataclass
 class OfferCount:
-    """Openings of all balancers and the offers of them to agents."""
+    """Openings that balancers offered to agents, and these offers."""
 
-    openings: int = 0
     offers: int = 0
+    offered_packets: set[bytes] = dataclasses.field(default_factory=set)
 
     @property
     def offers_per_opening(self) -> float:
-        """Mean number of offers that balancers made of an opening."""
-        return self.offers / max(1, self.openings)
+        """Mean number of offers that balancers made of an opening.
 
+        Openings that are refused before any offer are left out.
+        """
+        return self.offers / max(1, len(self.offered_packets))
 
-class _CountingPatches:
-    """Counts openings and offers while it is entered."""
+
+class _CountedOffers:
+    """Counts offers while it is entered."""
 
     def __init__(self) -> None:
         self.count = OfferCount()
@@ -77,31 +79,22 @@
     def __enter__(self) -> OfferCount:
         count = self.count
         original_send = peer_port.PeerPort.send
-        original_open = openings.Openings.open_flow
 
         def send(port, host, message, packet=b""):
             if isinstance(message, frames.Offer):
                 # Agents pass offers on.
                 role = port.kernel.settings.role
-                count.offers += role == "stream_balancer"
+                if role == "stream_balancer":
+                    count.offers += 1
+                    count.offered_packets.add(packet)
             original_send(port, host, message, packet)
 
-        def open_flow(service, packet, *arguments):
-            is_known = packet.flow_from_caller() in service.opening_by_flow
-            count.openings += not is_known
-            original_open(service, packet, *arguments)
-
-        self._patches = (
-            mock.patch.object(peer_port.PeerPort, "send", send),
-            mock.patch.object(openings.Openings, "open_flow", open_flow),
-        )
-        for patch in self._patches:
-            patch.start()
+        self._patch = mock.patch.object(peer_port.PeerPort, "send", send)
+        self._patch.start()
         return count
 
     def __exit__(self, *_: object) -> None:
-        for patch in self._patches:
-            patch.stop()
+        self._patch.stop()
 
 
 async def _request(caller, demand: Demand, served: Served) -> None:
@@ -178,7 +171,7 @@
                     load.start_soon(fault, fleet)
             tasks.cancel_scope.cancel()
 
-    with _CountingPatches() as count:
+    with _CountedOffers() as count:
         virtual_network.run(main, seed)
     return served_by_name, count
 
--- a/tests/cover/test_stream_waiting_order.py
+++ b/tests/cover/test_stream_waiting_order.py
@@ -123,26 +123,26 @@
     def test_no_share_is_exceeded_while_others_wait(self, _, key, share):
         """Guards against one caller or route that takes all slots.
 
-        Its openings are older than those of 25 others.
+        Its openings are older than those of 100 others.
         """
         order = order_of(
             *(
                 opening(port, 0.2, **{"caller": port, **key})
                 for port in range(200)
             ),
-            *(opening(port, 0.1, caller=port) for port in range(200, 225)),
+            *(opening(port, 0.1, caller=port) for port in range(200, 300)),
         )
         for port in range(10):
             order.record_slot(opening(port, caller=900 + port), NOW_S - 0.1)
         got = 0
-        for total in range(11, 61):
+        for total in range(11, 161):
             item = order.pop_next(SERVICE, NOW_S)
             got += item.flow.caller_port < 200
             order.record_slot(item, NOW_S)
             self.assertLessEqual(got, share * total)
-        self.assertGreater(got, 0.5 * 50)
+        self.assertGreater(got, 0.5 * 150)
         # What was set aside gets the slots that nobody else waits for.
-        self.assertEqual(175, len(popped_ports(order)))
+        self.assertEqual(150, len(popped_ports(order)))
 
     def test_ranks_need_several_priorities_of_a_service(self):
         """Guards against ranks from routes of another service."""
--- a/tests/failures/test_stream_shortage.py
+++ b/tests/failures/test_stream_shortage.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -16,6 +17,7 @@
 from bramleypin.internal.stream import refusal
 from bramleypin.internal.stream import slot_queue
 from bramleypin.standins import stream_codec
+from bramleypin.standins import stream_fleet
 from tests.failures import test_stream_flows
 
 # The bound of docs/hard-load.md, rule 4.
@@ -56,9 +58,19 @@
         """Guards against slots that go to a lower priority in a shortage.
 
         The higher priority needs a third of the capacity, both priorities
-        together one and a half times the capacity.
+        together one and a half times the capacity. Their objectives are
+        equal, as a longer one alone gives an advantage.
         """
-        served_by_name, _ = play("two_priorities")
+        _, demands, fault = shortage.SCENARIOS["two_priorities"]
+        routes = (
+            stream_fleet.route(8443, priority=1, latency_objective_s=0.336),
+            stream_fleet.route(443, priority=2, latency_objective_s=0.336),
+        )
+        demands = [
+            dataclasses.replace(demand, objective_s=0.336)
+            for demand in demands
+        ]
+        served_by_name, _ = shortage.play(routes, demands, 1, fault, 2.5)
         bookings = served_by_name["bookings"]
         self.assertGreaterEqual(bookings.in_time, 0.95 * bookings.sent)
         practice = served_by_name["practice"]
