--- a/src/bramleypin/internal/stream/loads.py
+++ b/src/bramleypin/internal/stream/loads.py
@@ -159,6 +159,12 @@
         load = self.load_by_host.get(host)
         if load is not None:
             load.offers_since_report += 1
+            if load.unresponsive_until_s > float("-inf"):
+                # It has sent nothing since it was marked, so one offer at a
+                # time tries it.
+                load.unresponsive_until_s = (
+                    anyio.current_time() + UNRESPONSIVE_S
+                )
             if load.cold_allowance > 0:
                 load.cold_allowance -= 1
 
--- a/tests/cover/test_stream_loads.py
+++ b/tests/cover/test_stream_loads.py
@@ -197,6 +197,28 @@
         ranked_hosts = rank_hosts([], view_=view_, tried=tried_hosts)
         self.assertEqual({REMOTE_HOST, OTHER_REMOTE_HOST}, set(ranked_hosts))
 
+    def test_a_silent_agent_is_tried_with_one_offer_at_a_time(self):
+        """Guards against offers of a whole backlog to a silent agent."""
+
+        async def main():
+            service = loads.AgentLoads(_Kernel(view_of_three()))
+            service.record_report(report(LOCAL_HOST), LOCAL_HOST)
+            service.mark_unresponsive(LOCAL_HOST)
+            await anyio.sleep(loads.UNRESPONSIVE_S + 0.1)
+            may_offer = []
+            for _ in range(2):
+                may_offer.append(
+                    not service.reports_no_capacity(LOCAL_HOST, is_late=False)
+                )
+                service.count_offer(LOCAL_HOST)
+            service.record_report(report(LOCAL_HOST), LOCAL_HOST)
+            may_offer.append(
+                not service.reports_no_capacity(LOCAL_HOST, is_late=False)
+            )
+            return may_offer
+
+        self.assertEqual([True, False, True], virtual_network.run(main))
+
     def test_a_report_counts_for_the_senders_host_only(self):
         """Guards against a daemon that reports another daemon's load."""
 
--- a/tests/cover/test_stream_waiting_order.py
+++ b/tests/cover/test_stream_waiting_order.py
@@ -302,6 +302,7 @@
         delays_s = sorted(spread.delay_s(NOW_S) for _ in range(100))
         self.assertEqual(0.0, delays_s[0])
         self.assertLess(delays_s[-1], refusal.RESET_SPREAD_S)
+        self.assertGreater(delays_s[-1], 0.9 * refusal.RESET_SPREAD_S)
         gaps = [b - a for a, b in zip(delays_s, delays_s[1:])]
         self.assertLess(max(gaps), 0.003)
         self.assertEqual(0.0, spread.delay_s(NOW_S + 0.01))
