Name the time-out of an endpoint's answer as one

Cause: PATIENCE_SERVICE_TIMES is no term of the field. Change: ANSWER_TIMEOUT_SERVICE_TIMES, MIN_ANSWER_TIMEOUT_S; no behaviour. Result: tests.cover.test_stream_health passes.

--- a/src/bramleypin/internal/stream/endpoint_health.py
+++ b/src/bramleypin/internal/stream/endpoint_health.py
@@ -33,8 +33,8 @@
 QUIET_S = 3.0
 # A request without an answer after so many service times is unanswered. The
 # slowest 3% take 7 service times, and those of a slowed endpoint 8.
-PATIENCE_SERVICE_TIMES = 12.0
-MIN_PATIENCE_S = 0.5
+ANSWER_TIMEOUT_SERVICE_TIMES = 12.0
+MIN_ANSWER_TIMEOUT_S = 0.5
 # Interval at which a request is judged again that may still be queued.
 RECHECK_INTERVAL_S = 0.1
 # Between checks this far apart the process was stalled, so answers of the
@@ -98,7 +98,7 @@
     """Decides with hysteresis whether an endpoint is failing.
 
     The cost is O(log n) for each request, n being those of the last
-    ``PATIENCE_SERVICE_TIMES``. ``count(metric)`` counts a failure.
+    ``ANSWER_TIMEOUT_SERVICE_TIMES``. ``count(metric)`` counts a failure.
     """
 
     def __init__(self) -> None:
@@ -130,7 +130,7 @@
             return request
         request = WatchedRequest(now_s, in_free_slot)
         if len(self._watched) < MAX_WATCHED_REQUESTS:
-            self._watch(request, now_s + MIN_PATIENCE_S)
+            self._watch(request, now_s + MIN_ANSWER_TIMEOUT_S)
         return request
 
     def end(
@@ -187,16 +187,18 @@
             for _, _, request in self._watched:
                 request.ended = True
             self._watched.clear()
-        patience_s = max(
-            MIN_PATIENCE_S, PATIENCE_SERVICE_TIMES * service_time_s
+        answer_timeout_s = max(
+            MIN_ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_SERVICE_TIMES * service_time_s
         )
-        while self._arrivals and self._arrivals[0][0] <= now_s - patience_s:
+        while (
+            self._arrivals and self._arrivals[0][0] <= now_s - answer_timeout_s
+        ):
             self._earlier_arrival_s = self._arrivals.popleft()[1]
         while self._watched and self._watched[0][0] <= now_s:
             request = heapq.heappop(self._watched)[2]
             if request.ended:
                 continue
-            due_s = request.received_s + patience_s
+            due_s = request.received_s + answer_timeout_s
             if due_s > now_s:
                 self._watch(request, due_s)
             elif not service_time_s or self._may_be_queued(request):
