--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
     ("south", "archive"),
 ]
 KEPT_FLOWS = 400
-PAUSE_S = (0.8, 2.0)
+PAUSE_S = (1.5, 2.5)
 GAP_S = 1.3
 LOAD_S = 50
 SIDE_ROUNDS = 3
