Pass an agent's flow table on at a planned restart

Cause: an agent that has restarted answers "maybe" for a minute, since its endpoint may hold flows from before. In a rolling restart nearly all agents do, while one is always away, so a balancer that does not know a flow's owner either tries its packet at all of them or waits for the whole restart.

Change: an agent that stops sends its flow table to the seeds and three other agents, which keep it for at most 10 s. The next process on the host asks for it, and then answers for each flow as the one before it did. The table is used by one process, for the same endpoint, and only if all of its parts arrive. In its last 0.2 s an agent answers no search, so that no balancer sends it a packet that arrives too late. Answers to searches move to a module of their own.

The test test_a_frame_of_a_newer_era_ends_a_watch counted agents that had received any frame; it counts those that received one after the restoration, since agents now ask each other for tables when they start (it still fails if a newer era ends no watch).

--- a/src/bramleypin/internal/services.py
+++ b/src/bramleypin/internal/services.py
@@ -30,6 +30,7 @@
     "bramleypin.internal.stream.readiness",
     "bramleypin.internal.stream.leaving",
     "bramleypin.internal.stream.exchange",
+    "bramleypin.internal.stream.flow_tables",
 )
 
 MODULES_BY_ROLE: dict[str, tuple[str, ...]] = {
@@ -63,6 +64,8 @@
         "bramleypin.internal.stream.stream_admission",
         "bramleypin.internal.stream.reports",
         "bramleypin.internal.stream.agent",
+        "bramleypin.internal.stream.lookups",
+        "bramleypin.internal.stream.handover",
     ),
 }
 
--- a/src/bramleypin/internal/stream/agent.py
+++ b/src/bramleypin/internal/stream/agent.py
@@ -50,7 +50,6 @@
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
         self._peers.set_handler(frames.Offer, self._on_offer)
         self._peers.set_handler(frames.Data, self._on_data)
-        self._peers.set_handler(frames.Lookup, self._on_lookup)
 
     async def start(self) -> None:
         """Open the UDP port that receives the endpoint's packets."""
@@ -279,23 +278,6 @@
     def _send_to_endpoint(self, data: bytes) -> None:
         self._port.send(data, self.settings.endpoint)
 
-    def _on_lookup(self, query: frames.Lookup, _: bytes, host: str) -> None:
-        flow = segment.Flow(*query.flow)
-        answer = self.flows.answer_lookup(
-            flow, query.acknowledged, query.opening_sequence
-        )
-        self._peers.send(
-            host,
-            frames.LookupAnswer(
-                query.lookup,
-                self.settings.host,
-                answer,
-                self._views.view.revision,
-                round(self.flows.uptime_s(), 3),
-                self._views.view.era,
-            ),
-        )
-
     def forward_from_endpoint(self, data: bytes) -> None:
         """Forward one packet from the endpoint to its caller."""
         packet = self._codec.decode(data)
--- a/src/bramleypin/internal/stream/endpoint_flows.py
+++ b/src/bramleypin/internal/stream/endpoint_flows.py
@@ -46,6 +46,9 @@
         self._caller_port = settings.caller_port
         self._lifetime_s = settings.bounds.flow_lifetime_s
         self._started_s = anyio.current_time()
+        # Whether all flows of the endpoint that started before this process
+        # are known from the process before it.
+        self._knows_older_flows = False
         # The endpoint's position in each flow that it does not hold; ``None``
         # if it holds no other flow with these addresses and ports either.
         self._position_by_flow_not_held: collections.OrderedDict[
@@ -97,14 +100,29 @@
         return position >= 0 and segment.are_near(position, acknowledged)
 
     def may_hold_older_flows(self) -> bool:
-        """Return whether flows older than this process may still be open."""
-        is_recent = self.uptime_s() < self._lifetime_s
-        return is_recent and not self.endpoint_is_newer()
+        """Return whether flows that this process does not know may be open."""
+        if self._knows_older_flows or self.uptime_s() >= self._lifetime_s:
+            return False
+        return not self.endpoint_is_newer()
 
     def uptime_s(self) -> float:
-        """Return the time since this process started, in seconds."""
+        """Return the time for which this process has seen all flows.
+
+        It includes that of the processes before it which handed their flows
+        over. In seconds.
+        """
         return anyio.current_time() - self._started_s
 
+    def record_knowledge(self, known_s: float, complete: bool) -> None:
+        """Record that the process before this one handed its flows over.
+
+        It had seen all flows for ``known_s`` seconds, and knew all flows of
+        the endpoint if ``complete``.
+        """
+        started_s = anyio.current_time() - known_s
+        self._started_s = min(self._started_s, started_s)
+        self._knows_older_flows |= complete
+
     def answer_lookup(
         self, key: segment.Flow, acknowledged: int, opening_sequence: int
     ) -> str:
--- a/src/bramleypin/internal/stream/leaving.py
+++ b/src/bramleypin/internal/stream/leaving.py
@@ -10,6 +10,9 @@
 ROTATION_REMOVAL_S = 1.3
 MIN_IDLE_S = 0.3
 POLL_INTERVAL_S = 0.05
+# Time that an agent forwards packets after its last answer to a search. A
+# search and the trials after it take less.
+LAST_ANSWER_S = 0.2
 # Part of the grace period that is reserved for closing ports.
 CLOSING_TIME_S = 0.7
 
@@ -57,7 +60,9 @@
 
 
 @kernel_module.service(
-    "leaving_agent", roles=("stream_agent",), needs=("agent", "readiness")
+    "leaving_agent",
+    roles=("stream_agent",),
+    needs=("agent", "lookups", "readiness", "flow_handover"),
 )
 class LeavingAgent(kernel_module.Service):
     """Refuses new flows and serves open ones until they end."""
@@ -65,7 +70,8 @@
     async def drain(self) -> None:
         """Refuse new flows and wait until none is open.
 
-        Returns in any case shortly before the grace period ends.
+        Then hands over the flows that are still open. Returns in any case
+        shortly before the grace period ends.
         """
         agent = self.kernel.get("agent")
         self.kernel.get("readiness").leaving = True
@@ -81,5 +87,9 @@
                 open_flows = len(agent.flows.established_flows())
                 if not open_flows and not agent.flows.half_open_by_key:
                     break
+        self.kernel.get("lookups").answering = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(anyio.sleep, LAST_ANSWER_S)
+            await self.kernel.get("flow_handover").hand_over()
         after_s = anyio.current_time() - started_s
         _log.info("leaving", after_s=round(after_s, 3), open_flows=open_flows)
--- a/tests/failures/test_restored_store.py
+++ b/tests/failures/test_restored_store.py
@@ -154,6 +154,10 @@
         balancer that starts then sees the new era.
         """
 
+        def received_frames(daemon):
+            counts = daemon.kernel.get("metrics").count_by_name
+            return counts.get("stream.frames_received", 0)
+
         async def scenario(fleet):
             await test_stream_flows.start_fleet(fleet)
             # Watches of 4 s have just begun.
@@ -163,15 +167,19 @@
             fleet.store.restore(0.6, ends_watches=False)
             await test_kept_flows.restart(fleet.balancer_by_name["b0"])
             await anyio.sleep(0.3)
+            # Agents ask each other for flow tables when they start.
+            earlier_frames = [
+                received_frames(daemon) for daemon in test_relay.daemons(fleet)
+            ]
             caller = fleet.add_caller("100.64.0.2")
             await anyio.sleep(0.1)
             await test_stream_flows.send_requests(caller, 20, 1)
             return [
                 daemon.kernel.get("view").view.era
-                for daemon in test_relay.daemons(fleet)
-                if daemon.kernel.get("metrics").count_by_name.get(
-                    "stream.frames_received", 0
+                for daemon, earlier in zip(
+                    test_relay.daemons(fleet), earlier_frames
                 )
+                if received_frames(daemon) > earlier
             ]
 
         with mock.patch.object(relay, "relays_for", lambda *_: []):
--- a/tests/failures/test_reused_ports.py
+++ b/tests/failures/test_reused_ports.py
@@ -6,10 +6,10 @@
 import anyio
 import parameterized
 
-from bramleypin.internal.stream import agent
 from bramleypin.internal.stream import endpoint_flow
 from bramleypin.internal.stream import endpoint_flows
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import lookups
 from bramleypin.internal.stream import segment
 from bramleypin.standins import stream_callers
 from bramleypin.standins import stream_codec
@@ -141,11 +141,11 @@
         the earlier endpoint gets the packet too. The earlier endpoint's agent
         has seen the end of its flow a while ago, or lost its flow table.
         """
-        original = agent.Agent._on_lookup
+        original = lookups.Lookups._on_lookup
         silent_hosts = set()
 
         def on_lookup(self, query, packet, host):
-            if self.settings.host not in silent_hosts:
+            if self.kernel.settings.host not in silent_hosts:
                 original(self, query, packet, host)
 
         async def scenario(fleet):
@@ -174,7 +174,7 @@
             kinds = (before.kind, after.kind)
             return kinds, len(flow.answers), endpoint.resets_sent
 
-        with mock.patch.object(agent.Agent, "_on_lookup", on_lookup):
+        with mock.patch.object(lookups.Lookups, "_on_lookup", on_lookup):
             result = test_stream_flows.run_scenario(scenario)
         self.assertEqual((("answered", "answered"), 3, resets_sent), result)
 
--- a/tests/failures/test_stream_robustness.py
+++ b/tests/failures/test_stream_robustness.py
@@ -16,6 +16,7 @@
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import leaving
 from bramleypin.internal.stream import loads
+from bramleypin.internal.stream import lookups
 from bramleypin.internal.stream import openings
 from bramleypin.internal.stream import owners
 from bramleypin.internal.stream import peer_port
@@ -45,7 +46,7 @@
     (loads.AgentLoads, "record_report"),
     (agent.Agent, "_on_offer"),
     (agent.Agent, "_on_data"),
-    (agent.Agent, "_on_lookup"),
+    (lookups.Lookups, "_on_lookup"),
     (agent.Agent, "_on_bounced"),
     (endpoint_flows.EndpointFlows, "end_request"),
     (reports.LoadReports, "_on_slot_request"),
