Refuse no value of another writer for its size

Cause: route_values.py refused priorities above 1,000, weights above 10^9 and times above 86,400 s, and a refused route keeps the form that is in force. The log says "skipped a route" with the key and the value.

Change: all bounds on values that others write were gone through. Those without a sentence in the users' pages go: priority (also one that is not a whole number), times, weights, slots, and the number of pages of a listing, which now ends with an error only if it does not advance. Names may have 4,096 characters in place of 255, so that a record fits a UDP datagram; frames may be as long as that datagram. Values of another type and negative ones are refused as before.

Ruled out: keeping the bound and applying the rest of the route. The value is valid, so there is nothing to leave out.

Tests: test_a_route_moves_with_a_large, test_flows_are_split_by_weights, test_an_entry_is_used_and_passed_on_with_large and test_a_listing_may_have_any_number_of_pages fail without the change.

--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -15,7 +15,8 @@
 from bramleypin import errors
 
 _PREFIX = struct.Struct(">BH")
-MAX_FRAME_BYTES = 4_096
+# The largest payload of a UDP datagram over IPv4.
+MAX_FRAME_BYTES = 65_507
 # Stamp of a message that does not include the sender's view.
 NO_STAMP = (0, -1)
 # The store's era; frames of senders that know none lack it.
--- a/src/bramleypin/internal/stream/route_values.py
+++ b/src/bramleypin/internal/stream/route_values.py
@@ -1,37 +1,51 @@
 """Checks the values of routes that somebody else has written."""
 
+import dataclasses
 import math
 
 from bramleypin.internal.stream import view
 
-# Bounds of a route's values. A value outside them is an error of its writer.
-MAX_PRIORITY = 1_000
-MAX_WEIGHT = 1e9
-MAX_TIME_S = 86_400.0
-
 
 def checked(route: view.Route) -> view.Route:
     """Return a route whose values are valid.
 
-    :raises ValueError: when a weight, time or priority is out of its bounds,
-        or the weights add up to 0; it names the route, the key and the value.
+    Priority 0 is the highest; there is no lowest one. Times and weights have
+    no upper bound but the range of a 64-bit floating-point number. Weights
+    whose sum exceeds it are scaled down.
+
+    :raises ValueError: when a weight, time or priority is negative, or the
+        weights add up to 0; it names the route, the key and the value.
     """
     weights = [weight for _, weight in route.weight_by_service]
-    total = sum(weights) if weights else 1.0
-    for key, value, maximum in (
-        ("priority", route.priority, MAX_PRIORITY),
-        ("timeout_s", route.timeout_s, MAX_TIME_S),
-        ("latency_objective_s", route.latency_objective_s, MAX_TIME_S),
-        *(("weight", weight, MAX_WEIGHT) for weight in weights),
+    for key, value in (
+        ("priority", route.priority),
+        ("timeout_s", route.timeout_s),
+        ("latency_objective_s", route.latency_objective_s),
+        *(("weight", weight) for weight in weights),
     ):
-        if not (math.isfinite(value) and 0 <= value <= maximum):
+        if value < 0:
             raise ValueError(
                 f"route {route.name!r}: {key} is {value!r}, write a number "
-                f"from 0 to {maximum:g}"
+                "from 0"
             )
+    if not weights:
+        return route
+    total = sum(weights)
     if total <= 0:
         raise ValueError(
             f"route {route.name!r}: the weights add up to {total!r}, write at "
             "least one above 0"
         )
+    if math.isinf(total):
+        return _with_scaled_weights(route, 1 / max(weights))
     return route
+
+
+def _with_scaled_weights(route: view.Route, factor: float) -> view.Route:
+    return dataclasses.replace(
+        route,
+        weight_by_service=tuple(
+            (service, weight * factor)
+            for service, weight in route.weight_by_service
+        ),
+    )
--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -9,11 +9,11 @@
 # Idle timeout of flows until a configuration is loaded. RFC 9293 leaves the
 # value to the implementation.
 DEFAULT_IDLE_S = 15.0
-# Bounds of a registration, so that its record fits one frame between daemons
-# and its numbers can be used in computations.
-MAX_NAME_CHARACTERS = 255
-MAX_SLOTS = 1_000_000
-MAX_STARTED_MS = 2**63 - 1
+# Longest name of a service or a failure domain. With any characters, the
+# record of a registration then fits the largest UDP datagram.
+MAX_NAME_CHARACTERS = 4_096
+# Largest whole number in a registration, that of a signed 64-bit integer.
+MAX_WHOLE_NUMBER = 2**63 - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +32,7 @@
     idempotent: bool
     timeout_s: float
     latency_objective_s: float
-    priority: int
+    priority: int | float
 
     def service_for(self, flow: segment.Flow) -> str:
         """Return the service that receives a new flow; "" if there is none."""
--- a/src/bramleypin/internal/stream/view_delta.py
+++ b/src/bramleypin/internal/stream/view_delta.py
@@ -43,7 +43,7 @@
     idempotent: bool
     timeout_s: float
     latency_objective_s: float
-    priority: int
+    priority: int | float
 
 
 class ServiceRecord(msgspec.Struct, array_like=True):
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -23,6 +23,7 @@
 _Name = typing.Annotated[
     str, msgspec.Meta(max_length=view.MAX_NAME_CHARACTERS)
 ]
+_WholeNumber = typing.Annotated[int, msgspec.Meta(le=view.MAX_WHOLE_NUMBER)]
 
 _log = logs.get("store")
 
@@ -61,7 +62,7 @@
     type: str = "unsafe"
     timeout_ms: float = 0.0
     target_latency_ms: float = 0.0
-    priority: int = 0
+    priority: int | float = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -87,9 +88,9 @@
     address: str
     zone: _Name
     state: str
-    slots: typing.Annotated[int, msgspec.Meta(le=view.MAX_SLOTS)]
+    slots: _WholeNumber
     cold_remaining_ms: float = 0.0
-    born: typing.Annotated[int, msgspec.Meta(le=view.MAX_STARTED_MS)] = 0
+    born: _WholeNumber = 0
 
 
 def _decode_value(item: Item) -> bytes:
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -18,9 +18,6 @@
 # A page holds about 1 MB of data, to which base64 adds a third. The changes
 # that a watch returns have no limit of their own.
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# Maximum number of pages in a listing, in case the store never reports a last
-# page. A page may hold as few as 50 items, and the target size is 7,400 hosts.
-MAX_PAGES = 1_024
 
 
 class _Page(msgspec.Struct):
@@ -105,7 +102,7 @@
         eras: list[int] = []
         query = {"prefix": ""} | ({"allow_stale": "1"} if allow_stale else {})
         try:
-            for _ in range(MAX_PAGES):
+            while True:
                 page = await connection.get_page(
                     RANGE_PATH, query, http_client.READ_TIMEOUT_S
                 )
@@ -115,12 +112,14 @@
                 eras.append(connection.era)
                 page_items = decoding.decode_items(page.items)
                 items += page_items
-                if not page.has_more or not page_items:
+                last_key = page_items[-1].key if page_items else ""
+                if not page.has_more or last_key <= query.get("after", ""):
                     break
-                query["after"] = page_items[-1].key
+                query["after"] = last_key
             store_era.raise_if_restored(eras)
             if page.has_more:
-                # Items that are not listed would count as removed.
+                # The listing does not advance, and items that are not listed
+                # would count as removed.
                 message = f"{RANGE_PATH}: the listing has no last page"
                 raise errors.PlatformUnavailable(message)
             now_s = anyio.current_time()
