Reset a flow only when every agent has ruled it out

Cause: a balancer that starts after the move asks the flow's candidates at the new service first. If all of them answered "no" and had started less than 4 s before, the other agents were not asked and the flow was reset at once, as after a loss of power. The log shows 3 agents asked of 14. Agents of added hosts look the same as restarted ones.

Change: all agents of the view are asked, and must answer, before a flow is reset. The shortcut saved frames after a loss of power, when hundreds of flows are searched for each second. Answers are told apart by host, so that a frame that arrives twice does not stand for another agent's answer. Agents that were restarted as planned count the time of the process before them, so they do not look restarted either.

Ruled out: comparing the starts of all endpoints of the view; a flow may have been opened since, at an endpoint that is no candidate.

Tests: test_open_flows_are_kept_when_their_route_moves_to_a_service fails without the change (2 of 3 rows; the one with a planned restart passes before it, as flow tables are handed over). test_a_copy_of_an_answer_does_not_count_for_another_agent fails if copies count, test_many_searches_share_frames and test_few_agents_are_asked_for_each_lost_flow if lookups are not queued. The latter counts frames of both kinds.

--- a/src/bramleypin/internal/stream/frames.py
+++ b/src/bramleypin/internal/stream/frames.py
@@ -180,6 +180,31 @@
         return self.era, self.revision
 
 
+@message(15)
+class LookupBatch(Message):
+    """Several lookups of a balancer to the same agent."""
+
+    lookups: list[Lookup]
+
+
+@message(16)
+class LookupBatchAnswer(Message):
+    """The answers to a ``LookupBatch``, by the number of the lookup.
+
+    The other fields are as in ``LookupAnswer``.
+    """
+
+    host: str
+    answers: list[tuple[int, str]]
+    revision: int
+    uptime_s: float
+    era: Era = 0
+
+    def view_stamp(self) -> tuple[int, int]:
+        """Return the era and revision of the sender's view."""
+        return self.era, self.revision
+
+
 @message(7)
 class LoadReport(Message):
     """An agent's report to the balancers that sent frames recently."""
--- a/src/bramleypin/internal/stream/lookups.py
+++ b/src/bramleypin/internal/stream/lookups.py
@@ -25,24 +25,50 @@
         self._peers = kernel.get("peer_port")
         self._flows = kernel.get("stream_admission").flows
         self._peers.set_handler(frames.Lookup, self._on_lookup)
+        self._peers.set_handler(frames.LookupBatch, self._on_batch)
 
-    def _on_lookup(self, query: frames.Lookup, _: bytes, host: str) -> None:
+    def _answer(self, lookup: frames.Lookup) -> str:
+        return self._flows.answer_lookup(
+            segment.Flow(*lookup.flow),
+            lookup.acknowledged,
+            lookup.opening_sequence,
+        )
+
+    def _uptime_s(self) -> float:
+        return round(self._flows.uptime_s(), 3)
+
+    def _on_lookup(self, message: frames.Lookup, _: bytes, host: str) -> None:
         if not self.answering:
             return
-        answer = self._flows.answer_lookup(
-            segment.Flow(*query.flow),
-            query.acknowledged,
-            query.opening_sequence,
-        )
         view = self._view_manager.view
         self._peers.send(
             host,
             frames.LookupAnswer(
-                query.lookup,
+                message.lookup,
+                self.kernel.settings.host,
+                self._answer(message),
+                view.revision,
+                self._uptime_s(),
+                view.era,
+            ),
+        )
+
+    def _on_batch(
+        self, message: frames.LookupBatch, _: bytes, host: str
+    ) -> None:
+        if not self.answering:
+            return
+        view = self._view_manager.view
+        answers = [
+            (lookup.lookup, self._answer(lookup)) for lookup in message.lookups
+        ]
+        self._peers.send(
+            host,
+            frames.LookupBatchAnswer(
                 self.kernel.settings.host,
-                answer,
+                answers,
                 view.revision,
-                round(self._flows.uptime_s(), 3),
+                self._uptime_s(),
                 view.era,
             ),
         )
--- a/src/bramleypin/internal/stream/lost_flows.py
+++ b/src/bramleypin/internal/stream/lost_flows.py
@@ -77,7 +77,7 @@
 
         ``packet`` is its caller's latest packet.
         """
-        if not (search.settled or search.finds_restart):
+        if not search.settled:
             self.record_unclear(search, packet)
             return
         lost = self._lost_by_flow.pop(search.flow, None)
--- a/src/bramleypin/internal/stream/owners.py
+++ b/src/bramleypin/internal/stream/owners.py
@@ -14,11 +14,13 @@
 from bramleypin.internal.observe import metrics
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import guard
+from bramleypin.internal.stream import lookup_queue
 from bramleypin.internal.stream import segment
 from bramleypin.internal.stream import ticker
 
-# Allows for a round trip between failure domains and for a busy agent's delay.
-ANSWER_TIMEOUT_S = 0.04
+# Allows for a round trip between failure domains, for a busy agent's delay and
+# for the time in the queue.
+ANSWER_TIMEOUT_S = 0.04 + lookup_queue.BATCH_INTERVAL_S
 TICK_INTERVAL_S = 0.01
 MAX_WAITING_PACKETS = 16
 # Packets of a flow without an owner start a new search only after this time.
@@ -55,8 +57,8 @@
     """A search in progress.
 
     ``asked_hosts`` are the agents that were asked, ``candidate_hosts`` those
-    among them that the flow's candidates name, ``answer_count`` counts the
-    answers. ``asked_all`` is true once all endpoints of the view
+    among them that the flow's candidates name, ``answered_hosts`` those that
+    have answered. ``asked_all`` is true once all endpoints of the view
     were asked. ``opening`` is the flow's latest opening packet, if any
     arrived, and ``waiting_packets`` are its other packets. The agents in
     ``possible_hosts`` cannot rule out that they hold the flow.
@@ -75,7 +77,7 @@
     waiting_packets: list[segment.Segment]
     candidate_hosts: frozenset[str] = frozenset()
     possible_hosts: list[str] = dataclasses.field(default_factory=list)
-    answer_count: int = 0
+    answered_hosts: set[str] = dataclasses.field(default_factory=set)
     newest: tuple[int, int] = frames.NO_STAMP
     longest_uptime_s: float = 0.0
     caller_position: int = 0
@@ -90,21 +92,22 @@
 
     @property
     def finds_restart(self) -> bool:
-        """Whether the answers show that all agents have just restarted.
+        """Whether all agents have just restarted and lost their flows.
 
-        If all candidates of the flow have, and none of them may hold it, the
-        other agents need not be asked.
+        One that was restarted as planned has not lost them. The agents of a
+        part of the endpoints show nothing: those of endpoints that are added
+        have just started as well.
         """
         return (
-            (self.settled or (self.all_answered and not self.possible_hosts))
-            and self.answer_count >= MIN_RESTARTED_AGENTS
+            self.settled
+            and len(self.answered_hosts) >= MIN_RESTARTED_AGENTS
             and self.longest_uptime_s < RESTART_WINDOW_S
         )
 
     @property
     def all_answered(self) -> bool:
         """Whether all agents that were asked have answered."""
-        return 0 < len(self.asked_hosts) <= self.answer_count
+        return 0 < len(self.asked_hosts) <= len(self.answered_hosts)
 
 
 FoundCallback = typing.Callable[[OwnerSearch, str], None]
@@ -136,10 +139,14 @@
         self._last_search_number = kernel.environment.random.getrandbits(31)
         self._view_manager = kernel.get("view")
         self._peers = kernel.get("peer_port")
+        self._lookup_queue = lookup_queue.LookupQueue(self._peers)
         self._candidates = kernel.get("candidates")
         self._metrics = kernel.get("metrics")
         self._ticker = ticker.Ticker(TICK_INTERVAL_S)
         self._peers.set_handler(frames.LookupAnswer, self._on_lookup_answer)
+        self._peers.set_handler(
+            frames.LookupBatchAnswer, self._on_batch_answer
+        )
 
     def search(self, packet: segment.Segment) -> None:
         """Start a search for a packet's flow, or add the packet to one."""
@@ -159,7 +166,7 @@
             number=self._last_search_number,
             flow=flow,
             started_s=now_s,
-            deadline_s=now_s + ANSWER_TIMEOUT_S,
+            deadline_s=now_s,
             asked_hosts={},
             opening=packet if packet.opening else None,
             waiting_packets=[] if packet.opening else [packet],
@@ -175,14 +182,15 @@
         self._ticker.wake()
 
     def _ask(self, search: OwnerSearch, hosts: list[str]) -> None:
-        message = frames.Lookup(
+        search.deadline_s = anyio.current_time() + ANSWER_TIMEOUT_S
+        search.asked_hosts |= dict.fromkeys(hosts)
+        lookup = frames.Lookup(
             search.number,
             search.flow,
             search.acknowledged,
             search.opening_sequence,
         )
-        search.asked_hosts |= dict.fromkeys(hosts)
-        self._peers.send_to_all(hosts, message)
+        self._lookup_queue.add(lookup, hosts)
 
     def _widen(self, search: OwnerSearch) -> bool:
         """Ask the agents that were not asked before; false if there is none.
@@ -199,7 +207,6 @@
         search.asked_all = len(hosts) == len(other_hosts)
         if not hosts:
             return False
-        search.deadline_s = anyio.current_time() + ANSWER_TIMEOUT_S
         self._ask(search, hosts)
         return True
 
@@ -214,11 +221,29 @@
     def _on_lookup_answer(
         self, message: frames.LookupAnswer, _: bytes, host: str
     ) -> None:
-        search = self._search_by_number.get(message.lookup)
+        self._record_answer(message.lookup, message.answer, message, host)
+
+    def _on_batch_answer(
+        self, message: frames.LookupBatchAnswer, _: bytes, host: str
+    ) -> None:
+        for number, answer in message.answers:
+            self._record_answer(number, answer, message, host)
+
+    def _record_answer(
+        self,
+        number: int,
+        answer: str,
+        message: frames.LookupAnswer | frames.LookupBatchAnswer,
+        host: str,
+    ) -> None:
+        search = self._search_by_number.get(number)
         if search is None or host not in search.asked_hosts:
             return
-        search.answer_count += 1
-        if message.answer == "holds":
+        if host in search.answered_hosts:
+            # A copy of the frame; it must not count for another agent.
+            return
+        search.answered_hosts.add(host)
+        if answer == "holds":
             self._remove(search)
             self._metrics.count(LOOKUPS_FOUND)
             self.on_found(search, host)
@@ -227,7 +252,7 @@
         search.longest_uptime_s = max(
             search.longest_uptime_s, message.uptime_s
         )
-        if message.answer == "maybe":
+        if answer == "maybe":
             search.possible_hosts.append(host)
         if search.all_answered:
             self._complete(search)
@@ -236,10 +261,9 @@
         # A copy of an opening needs no certainty: the caller keeps the flow
         # at the endpoint whose answer it acknowledges.
         is_open = bool(search.waiting_packets)
-        is_complete = search.asked_all or self._is_lost_in_restart(search)
         # Without any answer, this process or the network is overloaded, and
         # asking all agents would add to that.
-        can_widen = search.answer_count > 0 and not is_complete
+        can_widen = search.answered_hosts and not search.asked_all
         if is_open and can_widen and self._widen(search):
             return
         self._remove(search)
@@ -252,23 +276,11 @@
             "no agent holds the flow",
             flow=str(search.flow),
             asked=len(search.asked_hosts),
-            answered=search.answer_count,
+            answered=len(search.answered_hosts),
             revision=self._view_manager.view.revision,
         )
         self.on_lost(search)
 
-    def _is_lost_in_restart(self, search: OwnerSearch) -> bool:
-        """Return whether a flow may be given up before asking all agents.
-
-        After a loss of power, thousands of flows are searched for at once, and
-        asking every agent for each of them fills a narrow link for seconds. A
-        request that may be repeated is worth less than that time.
-        """
-        configuration = self._view_manager.view.configuration
-        address = (search.flow.service_host, search.flow.service_port)
-        route = configuration.route_by_address.get(address)
-        return route is not None and route.idempotent and search.finds_restart
-
     def delay_search(self, flow: segment.Flow) -> None:
         """Start no search for a flow during ``RETRY_DELAY_S``."""
         if len(self._delayed_until_by_flow) >= MAX_DELAYED_FLOWS:
@@ -286,6 +298,7 @@
         """Complete searches whose agents did not all answer in time."""
         while True:
             await self._ticker.wait(self.search_by_flow)
+            guard.call(self._metrics, self._lookup_queue.send_due)
             now_s = anyio.current_time()
             for search in list(self.search_by_flow.values()):
                 if search.deadline_s <= now_s:
--- a/tests/failures/test_power_loss.py
+++ b/tests/failures/test_power_loss.py
@@ -12,8 +12,10 @@
 import parameterized
 
 from bramleypin.internal.stream import frames
+from bramleypin.internal.stream import lookup_queue
 from bramleypin.internal.stream import lost_flows
 from bramleypin.internal.stream import peer_port
+from bramleypin.internal.stream import settings as stream_settings
 from bramleypin.standins import stream_fleet
 from tests.failures import test_kept_flows
 from tests.failures import test_stream_flows
@@ -25,11 +27,11 @@
 
 @contextlib.contextmanager
 def count_lookups(counts: dict[str, int]):
-    """Count the agents that are asked for the owners of flows."""
+    """Count the frames that ask agents for the owners of flows."""
     original_send_to_all = peer_port.PeerPort.send_to_all
 
     def send_to_all(port, hosts, message):
-        if isinstance(message, frames.Lookup):
+        if isinstance(message, (frames.Lookup, frames.LookupBatch)):
             counts["lookups"] = counts.get("lookups", 0) + len(hosts)
         original_send_to_all(port, hosts, message)
 
@@ -134,6 +136,83 @@
         flow_count = test_stream_flows.run_scenario(scenario)
         self.assertLessEqual(counts["lookups"], 10 * flow_count)
 
+    def test_many_searches_share_frames(self):
+        """Guards against a frame to every agent for each lost flow.
+
+        Hundreds of flows are searched for at the same time, and every agent
+        has to answer for each of them.
+        """
+        times_by_link: dict[tuple[str, str], list[float]] = {}
+        original_send_to_all = peer_port.PeerPort.send_to_all
+
+        def send_to_all(port, hosts, message):
+            if isinstance(message, (frames.Lookup, frames.LookupBatch)):
+                for host in hosts:
+                    link = (port.kernel.settings.host, host)
+                    times = times_by_link.setdefault(link, [])
+                    times.append(anyio.current_time())
+            original_send_to_all(port, hosts, message)
+
+        async def scenario(fleet):
+            kept_flows = await test_kept_flows.start_kept_flows(
+                fleet, count=200, endpoints=ENDPOINTS, balancers=1
+            )
+            await test_kept_flows.restart(
+                *fleet.agent_by_name.values(),
+                *fleet.balancer_by_name.values(),
+            )
+            restart_endpoints(fleet)
+            await anyio.sleep(0.6)
+            with mock.patch.object(
+                peer_port.PeerPort, "send_to_all", send_to_all
+            ):
+                return await test_kept_flows.request_on_each(kept_flows)
+
+        outcomes = test_stream_flows.run_scenario(scenario)
+        self.assertEqual({"reset"}, test_stream_flows.outcome_kinds(outcomes))
+        self.assertLess(max(item.seconds for item in outcomes), 0.25)
+        self.assertEqual(ENDPOINTS, len(times_by_link))
+        for times in times_by_link.values():
+            # Each batch of 200 lookups needs several frames.
+            frames_per_batch = 200 // lookup_queue.LOOKUPS_PER_FRAME + 1
+            batches = (times[-1] - times[0]) / lookup_queue.BATCH_INTERVAL_S
+            self.assertLessEqual(
+                len(times), (round(batches) + 1) * frames_per_batch
+            )
+
+    def test_a_copy_of_an_answer_does_not_count_for_another_agent(self):
+        """Guards against a reset while the owner's agent has not answered.
+
+        The network may deliver a frame twice.
+        """
+        original_send = peer_port.PeerPort.send
+
+        def send(port, host, message, packet=b""):
+            is_answer = isinstance(
+                message, (frames.LookupAnswer, frames.LookupBatchAnswer)
+            )
+            for _ in range(2 if is_answer else 1):
+                original_send(port, host, message, packet)
+
+        async def scenario(fleet):
+            caller = await test_stream_flows.start_fleet(fleet, keep_open=True)
+            # Agents rule out flows that they do not know.
+            await anyio.sleep(stream_settings.Bounds().flow_lifetime_s)
+            kept_flows = [
+                await caller.open_kept_flow(test_kept_flows.SERVICE)
+                for _ in range(12)
+            ]
+            fleet.agent_by_name["e0"].kill()
+            await test_kept_flows.restart(*fleet.balancer_by_name.values())
+            await anyio.sleep(2.5)
+            return await test_kept_flows.request_on_each(kept_flows, 1.0)
+
+        with mock.patch.object(peer_port.PeerPort, "send", send):
+            outcomes = test_stream_flows.run_scenario(scenario)
+        self.assertEqual(
+            {"answered", "silence"}, test_stream_flows.outcome_kinds(outcomes)
+        )
+
     def test_a_search_is_repeated_once_the_agents_run(self):
         """Guards against waiting for the caller's next transmission.
 
--- a/tests/failures/test_rolling_restarts.py
+++ b/tests/failures/test_rolling_restarts.py
@@ -16,8 +16,11 @@
 from bramleypin.internal.stream import flow_tables
 from bramleypin.internal.stream import frames
 from bramleypin.internal.stream import handover
+from bramleypin.internal.stream import lost_flows
+from bramleypin.internal.stream import owners
 from bramleypin.internal.stream import peer_port
 from bramleypin.internal.stream import settings as stream_settings
+from bramleypin.standins import stream_fleet
 from tests.failures import test_kept_flows
 from tests.failures import test_power_loss
 from tests.failures import test_stream_flows
@@ -65,6 +68,18 @@
         daemon.start()
 
 
+def add_service(fleet, service: str, number: int, started_ms: int = 0) -> None:
+    """Add three endpoints with their agents, which start now by default."""
+    now_ms = int((stream_fleet.UNIX_START_S + anyio.current_time()) * 1000)
+    for index in range(3):
+        name = f"{service}-{index}"
+        host = f"10.0.{number}.{index + 1}"
+        fleet.add_endpoint(name, host, "abc"[index], service, keep_open=True)
+        fleet.store.put(
+            fleet.registration(name, service, started_ms=started_ms or now_ms)
+        )
+
+
 def bounced_packets(fleet) -> int:
     """Return the number of packets that reached wrong endpoints."""
     return sum(
@@ -323,6 +338,55 @@
         self.assertEqual({"reset"}, test_stream_flows.outcome_kinds(outcomes))
         self.assertLess(max(item.seconds for item in outcomes), 0.25)
 
+    @parameterized.parameterized.expand(
+        [
+            ("with_added_agents", ("docs",), False),
+            ("twice_with_added_agents", ("docs", "mail"), False),
+            ("with_agents_that_restart_as_planned", ("docs",), True),
+        ]
+    )
+    def test_open_flows_are_kept_when_their_route_moves_to_a_service(
+        self, _, services, restarts
+    ):
+        """Guards against resets of flows whose candidates have just started.
+
+        A balancer that starts after the move does not know the service that
+        holds the flows. It asks the new one first, and all of its agents have
+        started less than 4 s ago. The requests may be repeated.
+        """
+
+        async def scenario(fleet):
+            kept_flows = await test_kept_flows.start_kept_flows(
+                fleet, endpoints=7
+            )
+            if restarts:
+                add_service(fleet, *services, 2)
+            await anyio.sleep(lost_flows.MAX_WAIT_S + owners.RESTART_WINDOW_S)
+            for number, service in enumerate(services, 2):
+                if restarts:
+                    agents = [
+                        fleet.agent_by_name[f"{service}-{index}"]
+                        for index in range(3)
+                    ]
+                    await stop_and_start(*agents)
+                else:
+                    add_service(fleet, service, number)
+                fleet.store.configure(
+                    stream_fleet.configuration(
+                        number, stream_fleet.route(service=service)
+                    )
+                )
+                await anyio.sleep(START_TIME_S)
+            await test_kept_flows.restart(*fleet.balancer_by_name.values())
+            await anyio.sleep(START_TIME_S)
+            return await test_kept_flows.request_on_each(kept_flows)
+
+        outcomes = test_stream_flows.run_scenario(scenario)
+        self.assertEqual(
+            {"answered"}, test_stream_flows.outcome_kinds(outcomes)
+        )
+        self.assertLess(max(item.seconds for item in outcomes), 0.25)
+
 
 if __name__ == "__main__":
     unittest.main()
