Take an entry for an endpoint's only with all of its fields

Another writer had left a copy of its entry without the field seq.

Cause: the decoder did not ask for seq, version and cold_remaining_ms. The copy was taken for a newer endpoint at the same address, and its state "ready" was the one that counted.

Ruled out: preferring the entry whose state is draining.

Tests: test_a_copy_of_an_entry_does_not_hide_that_the_endpoint_drains and five rows of the test of invalid entries fail without the change.

--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -84,12 +84,20 @@
 
 
 class _EndpointEntry(msgspec.Struct, frozen=True):
+    """The fields that every endpoint writes, and ``born``.
+
+    An entry of another writer may lack some of them. ``version`` and ``seq``
+    are not used, but they tell such an entry from an endpoint's.
+    """
+
     service: _Name
     address: str
     zone: _Name
+    version: str
     state: str
     slots: _WholeNumber
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: float
+    seq: int
     born: _WholeNumber = 0
 
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -150,14 +150,21 @@
     "service": "desk",
     "address": "10.0.1.1:8165",
     "zone": "a",
+    "version": "v1",
     "state": "ready",
     "slots": 3,
     "cold_remaining_ms": 1500,
+    "seq": 4,
     "born": 12,
     "new_field": 1,
 }
 
 
+def without(entry: dict, field: str) -> dict:
+    """Return a copy of an entry that lacks a field."""
+    return {key: value for key, value in entry.items() if key != field}
+
+
 class DecodingTest(unittest.TestCase):
     def test_an_entry_is_decoded_into_an_endpoint(self):
         """Guards against fields that are mapped to the wrong attribute."""
@@ -173,6 +180,13 @@
         [
             ("state", {**ENDPOINT_ENTRY, "state": "resting"}),
             ("missing", {"service": "desk"}),
+            *(
+                (f"no_{field}", without(ENDPOINT_ENTRY, field))
+                for field in ENDPOINT_ENTRY
+                if field not in ("born", "new_field")
+            ),
+            ("sequence", {**ENDPOINT_ENTRY, "seq": "4"}),
+            ("version", {**ENDPOINT_ENTRY, "version": 1}),
             ("type", {**ENDPOINT_ENTRY, "slots": "many"}),
             ("address", {**ENDPOINT_ENTRY, "address": "host:1"}),
             ("port", {**ENDPOINT_ENTRY, "address": "10.0.1.1:+80"}),
@@ -222,6 +236,23 @@
         changes = view_delta.changes_from_delta(old, sent, 0.0)
         self.assertEqual((endpoint,), changes.endpoints)
 
+    def test_a_copy_of_an_entry_does_not_hide_that_the_endpoint_drains(self):
+        """Guards against another writer's entry at an endpoint's address.
+
+        It is newer than the endpoint's own, and lacks a field.
+        """
+        copy = without(ENDPOINT_ENTRY, "seq")
+        draining = {**ENDPOINT_ENTRY, "state": "draining", "seq": 5}
+        items = [
+            item("servers/i-1", draining, created=1),
+            item("servers/copy-of-i-1", copy, created=2),
+        ]
+        decoded = decoding.decode(items, 9, 0.0, True)
+        endpoint_by_id = {item.id: item for item in decoded.endpoints}
+        configuration = stream_fleet.configuration(1, stream_fleet.route())
+        known_view = view.View(9, configuration, endpoint_by_id, frozenset())
+        self.assertEqual({"10.0.1.1"}, known_view.ineligible_hosts("desk"))
+
     def test_a_route_or_service_that_cannot_be_decoded_keeps_no_other_out(
         self,
     ):
--- a/tests/store_entries.py
+++ b/tests/store_entries.py
@@ -11,6 +11,7 @@
     "slots": 3,
     "state": "resting",
     "cold_remaining_ms": 0,
+    "seq": 1,
     "born": 1,
 }
 
