Bound the flows that a keeper holds for other agents

Cause: a keeper held up to 64 flow tables of any length. With 2,000 flows each that is 54 MB (422 bytes a flow, measured), more than an agent may use.

Change: it holds 10,000 flows (4.2 MB), those of the latest tables. An agent ignores parts that arrive once it has stopped asking.

Ruled out: a smaller number of tables; when many agents are restarted at the same time, most tables are short.

Test: test_a_keeper_holds_the_latest_tables_within_its_bound fails without the bound (76,800 flows).

--- a/src/bramleypin/internal/stream/flow_tables.py
+++ b/src/bramleypin/internal/stream/flow_tables.py
@@ -22,7 +22,8 @@
 # lost frame. It is shorter than the restart of a process, so that a second
 # process does not get the table that the first one has taken over.
 RESEND_TIME_S = 0.5
-MAX_TABLES = 64
+# Bounds the memory of a keeper. A flow takes about 420 bytes.
+MAX_KEPT_FLOWS = 10_000
 
 
 class FlowRecord(msgspec.Struct, array_like=True):
@@ -108,6 +109,7 @@
         self._table_by_host: collections.OrderedDict[str, _KeptTable] = (
             collections.OrderedDict()
         )
+        self._kept_flows = 0
         self._peers.set_handler(FlowTablePart, self._on_part)
         self._peers.set_handler(FlowTableRequest, self._on_request)
 
@@ -123,16 +125,26 @@
         now_s = anyio.current_time()
         kept = self._table_by_host.get(host)
         if kept is None or kept.table != message.table:
+            self._discard(host)
             kept = _KeptTable(message.table, now_s, 0.0, {})
             self._table_by_host[host] = kept
         self._table_by_host.move_to_end(host)
         kept.expires_s = now_s + MAX_TABLE_AGE_S
-        kept.part_by_number[message.part] = message
-        while (
-            len(self._table_by_host) > MAX_TABLES
-            or next(iter(self._table_by_host.values())).expires_s <= now_s
-        ):
-            self._table_by_host.popitem(last=False)
+        if message.part not in kept.part_by_number:
+            kept.part_by_number[message.part] = message
+            self._kept_flows += len(message.records)
+        while self._table_by_host:
+            oldest_host, oldest = next(iter(self._table_by_host.items()))
+            if oldest.expires_s > now_s and self._kept_flows <= MAX_KEPT_FLOWS:
+                break
+            self._discard(oldest_host)
+
+    def _discard(self, host: str) -> None:
+        kept = self._table_by_host.pop(host, None)
+        if kept is not None:
+            self._kept_flows -= sum(
+                len(part.records) for part in kept.part_by_number.values()
+            )
 
     def _on_request(
         self, message: FlowTableRequest, _: bytes, host: str
--- a/src/bramleypin/internal/stream/handover.py
+++ b/src/bramleypin/internal/stream/handover.py
@@ -77,7 +77,8 @@
         ] = {}
         self._sent_parts: list[flow_tables.FlowTablePart] = []
         self._unacknowledged: set[tuple[str, int]] = set()
-        kernel.get("flow_tables").on_own_part = self._on_own_part
+        self._tables = kernel.get("flow_tables")
+        self._tables.on_own_part = self._on_own_part
         self._peers.set_handler(flow_tables.FlowTableAck, self._on_ack)
 
     def _keepers(self) -> list[str]:
@@ -174,6 +175,7 @@
                 )
                 guard.call(self._metrics, self._take_over, latest)
                 break
+        self._tables.on_own_part = None
         self._parts_by_table.clear()
 
     def _on_own_part(self, message: flow_tables.FlowTablePart) -> None:
--- a/tests/failures/test_rolling_restarts.py
+++ b/tests/failures/test_rolling_restarts.py
@@ -280,6 +280,44 @@
             {"answered"}, test_stream_flows.outcome_kinds(outcomes)
         )
 
+    def test_a_keeper_holds_the_latest_tables_within_its_bound(self):
+        """Guards against tables that fill the memory of a keeper."""
+        record = flow_tables.FlowRecord(
+            (1, 2, 3, 4), 5, 6, 7, 8, True, False, False
+        )
+
+        async def scenario(fleet):
+            await test_stream_flows.start_fleet(fleet)
+            tables = fleet.balancer_by_name["b0"].kernel.get("flow_tables")
+            for number in range(60):
+                for part in range(20):
+                    host = f"10.0.7.{number}"
+                    message = flow_tables.FlowTablePart(
+                        host,
+                        number,
+                        part,
+                        20,
+                        "desk",
+                        0,
+                        True,
+                        60.0,
+                        [record] * 64,
+                    )
+                    tables._on_part(message, b"", host)
+            return [
+                (
+                    host,
+                    sum(len(p.records) for p in kept.part_by_number.values()),
+                )
+                for host, kept in tables._table_by_host.items()
+            ]
+
+        flows_by_host = dict(test_stream_flows.run_scenario(scenario))
+        self.assertLessEqual(
+            sum(flows_by_host.values()), flow_tables.MAX_KEPT_FLOWS
+        )
+        self.assertEqual(1_280, flows_by_host["10.0.7.59"])
+
     def test_an_agent_that_is_about_to_end_answers_no_search(self):
         """Guards against packets that are sent to an agent that has ended.
 
