Measure an outage of the store to the moment when it answers again

Cause: after a cut watch, the next one waits for up to a second before the store answers it, and all the time since the start of the cut one counted as an outage of more than 1 s. After an outage, removals are put off for 2 s. The log has "the store answers again" every 2 s, though the store answers every other call in 4 ms.

Change: after a failed call the reader asks for an answer at once. While registrations have lapsed, watches wait for 0.25 s at most, so that few are cut and removals are confirmed when they are due.

Ruled out: not counting cut watches as outages, as a store that was silent may cut them when it comes back; forgetting the start of an outage while relays confirm the view, as a live endpoint then leaves a follower's view in a second outage (a test of it failed).

Tests: test_an_endpoint_that_is_gone_leaves_all_views_though_watches_are_cut fails without the change (6 of 8 rows).

--- a/src/bramleypin/internal/stream/view_reader.py
+++ b/src/bramleypin/internal/stream/view_reader.py
@@ -1,6 +1,7 @@
 """Reads the view from the metadata store."""
 
 import contextlib
+import math
 import typing
 
 import anyio
@@ -18,6 +19,9 @@
 # connection later, though a drained endpoint must receive no new flow after
 # 3 s; a shorter watch costs more calls.
 WATCH_WAIT_S = 4.0
+# Duration of a watch while registrations that have lapsed may come back. The
+# store may cut a longer one, which looks like another outage.
+LAPSED_WATCH_WAIT_S = 0.25
 # Minimum duration of a watch that ends early for the sake of a removal.
 MIN_WATCH_WAIT_S = 0.1
 # Changes arrive in groups, e.g. when several endpoints start. After a change,
@@ -310,7 +314,13 @@
         # An endpoint is removed only if an answer shows that it is still
         # missing when its removal is due.
         due_s = self._view_manager.next_removal_s() - anyio.current_time()
+        if due_s < math.inf:
+            wait_s = min(wait_s, LAPSED_WATCH_WAIT_S)
         wait_s = max(min(wait_s, due_s), MIN_WATCH_WAIT_S)
+        if self.store_failing:
+            # An answer at once tells how long the store has been away. A
+            # watch that waits may have been cut without any outage.
+            wait_s = 0.0
         self._watch_scope = anyio.CancelScope()
         with self._watch_scope, _unexpected_errors_as_unusable():
             changes = await self._source.watch(view.revision, wait_s)
--- a/src/bramleypin/standins/stream_store.py
+++ b/src/bramleypin/standins/stream_store.py
@@ -1,6 +1,7 @@
 """A simulated metadata store for stream flows, and its clients."""
 
 import dataclasses
+import math
 import typing
 
 import anyio
@@ -55,6 +56,7 @@
     next change or at its end. A stale listing shows the state
     ``stale_commits`` changes ago. Answers carry ``era`` once ``restore`` has
     raised it, or ``era_value`` if that is not empty.
+    A watch is cut after it has waited for ``cut_watch_s`` seconds.
     ``calls`` counts calls as they are charged: a stale one costs a tenth.
     """
 
@@ -69,6 +71,7 @@
         self.transfer_s = 0.0
         self.refused_hosts: set[str] = set()
         self.silent_hosts: set[str] = set()
+        self.cut_watch_s = math.inf
         self.calls = 0.0
         self.stale_commits = 0
         self.era = 0
@@ -216,10 +219,12 @@
         await anyio.sleep(STORE_LATENCY_S)
         await self._raise_if_unavailable(host)
         self._raise_if_unknown(after, self._oldest_revision)
-        with anyio.move_on_after(wait_s):
+        with anyio.move_on_after(min(wait_s, self.cut_watch_s)):
             while self.revision == after:
                 await self._change_event.wait()
                 await self._raise_if_unavailable(host)
+        if self.revision == after and wait_s > self.cut_watch_s:
+            raise errors.PlatformUnavailable("the watch was cut")
         await self._raise_if_unavailable(host)
         self._raise_if_unknown(after, 0)
         changes = [item for item in self._change_log if item[0] > after]
--- a/tests/failures/test_relay.py
+++ b/tests/failures/test_relay.py
@@ -588,6 +588,39 @@
 
         self.assertEqual(expected, test_stream_flows.run_scenario(scenario))
 
+    @parameterized.parameterized.expand(
+        [
+            (f"after_{cut_s}_s_{name}", cut_s, outage_s)
+            for cut_s in (0.4, 0.8, 1.5, 2.5)
+            for name, outage_s in (("", 0.0), ("after_an_outage", 4.0))
+        ]
+    )
+    def test_an_endpoint_that_is_gone_leaves_all_views_though_watches_are_cut(
+        self, _, cut_s, outage_s
+    ):
+        """Guards against cut watches that put a removal off again and again.
+
+        A watch that waits may be cut at any time. The endpoint's registration
+        is removed while the store answers, and it does not come back.
+        """
+
+        async def scenario(fleet):
+            await start_fleet(fleet)
+            fleet.store.cut_watch_s = cut_s
+            fleet.store.down = outage_s > 0
+            await anyio.sleep(outage_s)
+            fleet.store.down = False
+            await anyio.sleep(0.3 if outage_s else 5.0)
+            fleet.store.remove("e1")
+            await anyio.sleep(CHANGE_S)
+            return {
+                daemon.settings.id
+                for daemon in daemons(fleet)
+                if "e1" in daemon.kernel.get("view").view.endpoint_by_id
+            }
+
+        self.assertEqual(set(), test_stream_flows.run_scenario(scenario))
+
     def test_an_endpoint_that_does_not_register_again_leaves_all_views(self):
         """Guards against removals that are put off for ever."""
 
