--- a/src/bramleypin/internal/stream/view.py
+++ b/src/bramleypin/internal/stream/view.py
@@ -9,9 +9,9 @@
 # Idle timeout of flows until a configuration is loaded. RFC 9293 leaves the
 # value to the implementation.
 DEFAULT_IDLE_S = 15.0
-# Longest name of a service or a failure domain. With any characters, the
-# record of a registration then fits the largest UDP datagram.
-MAX_NAME_CHARACTERS = 4_096
+# Longest name of a service or a failure domain, in characters. With any of
+# them, the record of a registration then fits the largest UDP datagram.
+MAX_NAME_LENGTH = 4_096
 # Largest whole number in a registration, that of a signed 64-bit integer.
 MAX_WHOLE_NUMBER = 2**63 - 1
 
--- a/src/bramleypin/platform/decoding.py
+++ b/src/bramleypin/platform/decoding.py
@@ -20,9 +20,7 @@
 IDEMPOTENT_ROUTE_TYPES = frozenset(("safe", "download"))
 ENDPOINT_STATES = ("ready", "draining")
 
-_Name = typing.Annotated[
-    str, msgspec.Meta(max_length=view.MAX_NAME_CHARACTERS)
-]
+_Name = typing.Annotated[str, msgspec.Meta(max_length=view.MAX_NAME_LENGTH)]
 _WholeNumber = typing.Annotated[int, msgspec.Meta(le=view.MAX_WHOLE_NUMBER)]
 
 _log = logs.get("store")
@@ -83,13 +81,8 @@
     limits: _Limits = _Limits()
 
 
+# An entry without ``version`` or ``seq``, both unused, is another writer's.
 class _EndpointEntry(msgspec.Struct, frozen=True):
-    """The fields that every endpoint writes, and ``born``.
-
-    An entry of another writer may lack some of them. ``version`` and ``seq``
-    are not used, but they tell such an entry from an endpoint's.
-    """
-
     service: _Name
     address: str
     zone: _Name
--- a/src/bramleypin/platform/store.py
+++ b/src/bramleypin/platform/store.py
@@ -118,8 +118,7 @@
                 query["after"] = last_key
             store_era.raise_if_restored(eras)
             if page.has_more:
-                # The listing does not advance, and items that are not listed
-                # would count as removed.
+                # Items that are not listed would count as removed.
                 message = f"{RANGE_PATH}: the listing has no last page"
                 raise errors.PlatformUnavailable(message)
             now_s = anyio.current_time()
