--- a/tests/failures/test_rolling_restarts.py
+++ b/tests/failures/test_rolling_restarts.py
@@ -343,7 +343,8 @@
             await test_kept_flows.restart(*fleet.balancer_by_name.values())
             leaving.stop()
             with mock.patch.object(peer_port.PeerPort, "send", send):
-                await handed_over.wait()
+                with anyio.fail_after(STOP_TIME_S):
+                    await handed_over.wait()
                 await test_kept_flows.request_on_each(kept_flows, 0.1)
             return leaving.settings.host
 
