--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -207,7 +207,7 @@
                 (target, self.deployment.ports["datagram"]))
 
     async def request(self, port, work_s=0.06, budget_s=2.0, requests=1,
-                      pause_s=0.0):
+                      pause_s=0.0, size=0):
         """Open a flow and send requests on it, one after the other."""
         self._next_port += 1
         key = (wire.ip(self.host), self._next_port, wire.ip(SERVICE_IP), port)
@@ -217,13 +217,13 @@
         self.outcomes.append(outcome)
         try:
             await self._flow(key, inbox, outcome, work_s, budget_s, requests,
-                             pause_s)
+                             pause_s, size)
         finally:
             outcome["ended"] = time.monotonic()
             del self._inbox[key[1]]
 
     async def _flow(self, key, inbox, outcome, work_s, budget_s, requests,
-                    pause_s):
+                    pause_s, size):
         began, first = time.monotonic(), random.getrandbits(32)
         outcome["syn"] = first
         answer = None
@@ -250,30 +250,47 @@
                         return
                     packet = await self._next(inbox, time.monotonic() + 0.05)
             id_ = f"{wire.text_ip(key[0])}-{key[1]}-{number}"
-            data = json.dumps({"id": id_, "work_s": work_s}).encode()
+            data = json.dumps(
+                {"id": id_, "work_s": work_s, "size": size}).encode()
             end, wait = time.monotonic() + budget_s, 0.2
-            got = None
-            while got is None and time.monotonic() < end:
-                self._send(key, wire.ACK, seq, ack, data)
-                until = min(end, time.monotonic() + wait)
-                wait = min(1.6, 2 * wait)
-                while got is None:
-                    packet = await self._next(inbox, until)
-                    if packet is None:
-                        break
-                    if packet.flags & wire.RST:
-                        if self._is_reset(packet, ack, outcome):
-                            outcome["end"] = "reset"
-                            return
-                    elif packet.data and packet.seq == ack:
-                        got = packet
-            if got is None:
-                outcome["end"] = "silence"
-                return
-            body = json.loads(got.data)
-            outcome["answers"].append((time.monotonic(), body["id"] == id_))
+            began_s, body, early, packets, head = (
+                time.monotonic(), bytearray(), {}, 0, None)
+            until = 0.0
+            while head is None or len(body) < head["total"]:
+                now = time.monotonic()
+                if now >= end:
+                    outcome["end"] = "silence"
+                    return
+                if now >= until and not body:
+                    self._send(key, wire.ACK, seq, ack, data)
+                    until, wait = now + wait, min(1.6, 2 * wait)
+                packet = await self._next(
+                    inbox, end if body else min(end, until))
+                if packet is None:
+                    continue
+                if packet.flags & wire.RST:
+                    if self._is_reset(packet, ack, outcome):
+                        outcome["end"] = "reset"
+                        outcome["request"] = number
+                        return
+                    continue
+                if not packet.data:
+                    continue
+                early[packet.seq] = packet.data
+                while ack in early:
+                    part = early.pop(ack)
+                    body += part
+                    ack = (ack + len(part)) & wire.MASK
+                if head is None and b"\n" in body:
+                    line, _, _ = bytes(body).partition(b"\n")
+                    head = json.loads(line)
+                    head["total"] = len(line) + 1 + head["size"]
+                packets += 1
+                if packets % 2 == 0:
+                    self._send(key, wire.ACK, seq + len(data), ack)
+            outcome["answers"].append((began_s, time.monotonic(),
+                                       head["id"] == id_, len(body)))
             seq += len(data)
-            ack = (ack + len(got.data)) & wire.MASK
             self._send(key, wire.ACK, seq, ack)
         outcome["end"] = "answered"
         self._send(key, wire.ACK | wire.FIN, seq, ack)
--- a/review/standins3/host.py
+++ b/review/standins3/host.py
@@ -11,6 +11,7 @@
 RETRANSMIT_S, MAX_RETRANSMIT_S, RETRANSMISSIONS = 0.2, 1.6, 8
 BEAT_S = 1.2
 LAPSE_BEATS = 3
+WINDOW, MAX_DATA = 16, 1_200
 
 
 class Flow:
@@ -23,7 +24,10 @@
         self.received = (opened_by + 1) & wire.MASK
         self.open = False
         self.ended = False
-        self.unacknowledged = None
+        self.position = self.end
+        self.queue = []
+        self.in_flight = []
+        self.progress = 0
 
 
 class Host(asyncio.DatagramProtocol):
@@ -159,9 +163,7 @@
         if packet.flags & wire.RST:
             flow.ended = True
             return
-        if flow.unacknowledged and wire.ahead(
-                packet.ack, flow.unacknowledged) >= 0:
-            flow.unacknowledged = None
+        self._acknowledge(key, flow, packet.ack)
         if packet.flags & wire.FIN:
             self._send(key, wire.ACK | (0 if flow.ended else wire.FIN),
                        flow.end, packet.seq + 1)
@@ -219,15 +221,44 @@
         self._next()
         if not self.alive or self.flows.get(key) is not flow or flow.ended:
             return
-        body = json.dumps({"stamp": self.id, "id": fields["id"]}).encode()
-        start = flow.end
-        flow.end = (start + len(body)) & wire.MASK
-        flow.unacknowledged = flow.end
-        wait = RETRANSMIT_S
-        for _ in range(RETRANSMISSIONS + 1):
-            if (not self.alive or flow.unacknowledged is None
-                    or self.lifetime != lifetime or flow.ended):
-                break
-            self._send(key, wire.ACK, start, flow.received, body)
+        head = {"stamp": self.id, "id": fields["id"],
+                "size": fields.get("size", 0)}
+        body = json.dumps(head).encode() + b"\n" + bytes(head["size"])
+        for at in range(0, len(body), MAX_DATA):
+            data = body[at:at + MAX_DATA]
+            flow.queue.append((flow.position, data))
+            flow.position = (flow.position + len(data)) & wire.MASK
+        idle = not flow.in_flight
+        self._pump(key, flow)
+        if idle:
+            await self._retransmit(key, flow)
+
+    def _acknowledge(self, key, flow, ack):
+        """Drop what the requester has and send what fits in the window."""
+        left = [(seq, data) for seq, data in flow.in_flight
+                if wire.ahead((seq + len(data)) & wire.MASK, ack) > 0]
+        if len(left) != len(flow.in_flight):
+            flow.in_flight = left
+            flow.progress += 1
+            self._pump(key, flow)
+
+    def _pump(self, key, flow):
+        while flow.queue and len(flow.in_flight) < WINDOW:
+            seq, data = flow.queue.pop(0)
+            flow.in_flight.append((seq, data))
+            flow.end = (seq + len(data)) & wire.MASK
+            self._send(key, wire.ACK, seq, flow.received, data)
+
+    async def _retransmit(self, key, flow):
+        lifetime, wait, copies = self.lifetime, RETRANSMIT_S, 0
+        while flow.in_flight and copies < RETRANSMISSIONS:
+            progress = flow.progress
             await asyncio.sleep(wait)
-            wait = min(MAX_RETRANSMIT_S, 2 * wait)
+            if not self.alive or self.lifetime != lifetime or flow.ended:
+                return
+            if flow.progress != progress:
+                wait, copies = RETRANSMIT_S, 0
+                continue
+            for seq, data in flow.in_flight:
+                self._send(key, wire.ACK, seq, flow.received, data)
+            wait, copies = min(MAX_RETRANSMIT_S, 2 * wait), copies + 1
--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -102,7 +102,8 @@
                     b"Content-Type: application/json\r\n"
                     b"Content-Length: %d\r\n\r\n" % (status, len(data)) + data)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
             pass
         finally:
             writer.close()
