--- a/review/standins3/deployment.py
+++ b/review/standins3/deployment.py
@@ -20,6 +20,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SYN_TIMES_S = (0.0, 0.2, 0.6)
 SYN_END_S = 1.4
+WINDOW, MAX_DATA = 16, 1_200
 PROBE_S = 0.5
 SERVICE_IP = "198.18.0.1"
 RUN = ("python3", "-m", "bramleypin.platform")
@@ -207,7 +208,7 @@
                 (target, self.deployment.ports["datagram"]))
 
     async def request(self, port, work_s=0.06, budget_s=2.0, requests=1,
-                      pause_s=0.0, size=0):
+                      pause_s=0.0, size=0, up=0):
         """Open a flow and send requests on it, one after the other."""
         self._next_port += 1
         key = (wire.ip(self.host), self._next_port, wire.ip(SERVICE_IP), port)
@@ -217,13 +218,13 @@
         self.outcomes.append(outcome)
         try:
             await self._flow(key, inbox, outcome, work_s, budget_s, requests,
-                             pause_s, size)
+                             pause_s, size, up)
         finally:
             outcome["ended"] = time.monotonic()
             del self._inbox[key[1]]
 
     async def _flow(self, key, inbox, outcome, work_s, budget_s, requests,
-                    pause_s, size):
+                    pause_s, size, up):
         began, first = time.monotonic(), random.getrandbits(32)
         outcome["syn"] = first
         answer = None
@@ -250,24 +251,40 @@
                         return
                     packet = await self._next(inbox, time.monotonic() + 0.05)
             id_ = f"{wire.text_ip(key[0])}-{key[1]}-{number}"
-            data = json.dumps(
-                {"id": id_, "work_s": work_s, "size": size}).encode()
-            end, wait = time.monotonic() + budget_s, 0.2
+            data = json.dumps({"id": id_, "work_s": work_s, "size": size,
+                               "up": up}).encode() + b"\n" + bytes(up)
+            parts = [(seq + at, data[at:at + MAX_DATA])
+                     for at in range(0, len(data), MAX_DATA)]
+            sent, wait, until = 0, 0.2, 0.0
+            end = time.monotonic() + budget_s
             began_s, body, early, packets, head = (
                 time.monotonic(), bytearray(), {}, 0, None)
-            until = 0.0
             while head is None or len(body) < head["total"]:
                 now = time.monotonic()
                 if now >= end:
                     outcome["end"] = "silence"
+                    outcome["request"] = number
                     return
-                if now >= until and not body:
-                    self._send(key, wire.ACK, seq, ack, data)
+                if parts and now >= until and not body:
+                    if sent:
+                        for at, part in parts[:sent]:
+                            self._send(key, wire.ACK, at, ack, part)
                     until, wait = now + wait, min(1.6, 2 * wait)
+                while parts and sent < min(WINDOW, len(parts)):
+                    at, part = parts[sent]
+                    sent += 1
+                    self._send(key, wire.ACK, at, ack, part)
                 packet = await self._next(
-                    inbox, end if body else min(end, until))
+                    inbox, min(end, until) if parts else end)
                 if packet is None:
                     continue
+                if not packet.flags & wire.RST:
+                    got = [p for p in parts if wire.ahead(
+                        p[0] + len(p[1]) & wire.MASK, packet.ack) <= 0]
+                    if got:
+                        del parts[:len(got)]
+                        sent -= len(got)
+                        until, wait = time.monotonic() + 0.2, 0.4
                 if packet.flags & wire.RST:
                     if self._is_reset(packet, ack, outcome):
                         outcome["end"] = "reset"
--- a/review/standins3/host.py
+++ b/review/standins3/host.py
@@ -28,6 +28,9 @@
         self.queue = []
         self.in_flight = []
         self.progress = 0
+        self.early = {}
+        self.request = bytearray()
+        self.packets = 0
 
 
 class Host(asyncio.DatagramProtocol):
@@ -175,12 +178,30 @@
             self.resets.add((key, packet.ack))
             self._send(key, wire.RST, packet.ack)
             return
-        if packet.seq == flow.received:
-            flow.received = (packet.seq + len(packet.data)) & wire.MASK
-            self._queue.append((key, flow, packet))
-            self._next()
+        self._collect(key, flow, packet)
+
+    def _collect(self, key, flow, packet):
+        """Put a request together from its packets; run it when complete."""
+        if wire.ahead(packet.seq, flow.received) >= 0:
+            flow.early[packet.seq] = packet.data
         else:
             self._send(key, wire.ACK, flow.end, flow.received)
+        while flow.received in flow.early:
+            data = flow.early.pop(flow.received)
+            flow.request += data
+            flow.received = (flow.received + len(data)) & wire.MASK
+        line, found, rest = bytes(flow.request[:200]).partition(b"\n")
+        if found:
+            fields = json.loads(line)
+            if len(flow.request) >= len(line) + 1 + fields.get("up", 0):
+                flow.request.clear()
+                flow.packets = 0
+                self._queue.append((key, flow, fields))
+                self._next()
+                return
+        flow.packets += 1
+        if flow.packets % 2 == 0:
+            self._send(key, wire.ACK, flow.end, flow.received)
 
     @staticmethod
     def _of_flow(flow, packet):
@@ -208,8 +229,7 @@
             self._running += 1
             self._spawn(self._run(self.lifetime, *self._queue.popleft()))
 
-    async def _run(self, lifetime, key, flow, packet):
-        fields = json.loads(packet.data)
+    async def _run(self, lifetime, key, flow, fields):
         self.runs.append((time.monotonic(), fields["id"], self.service))
         work = fields["work_s"]
         if time.monotonic() < self.cold_until:
