--- a/review/standins3/host.py
+++ b/review/standins3/host.py
@@ -48,6 +48,7 @@
         self.settings = deployment.settings
         self.alive = False
         self.lifetime = 0
+        self.clock_ahead_ms = 0
         self.cold_until = 0.0
         self.cold_spans = []
         self.draining = False
@@ -68,7 +69,7 @@
         self._running = 0
         self._queue = collections.deque()
         self.draining = False
-        self.born_ms = int(time.time() * 1000)
+        self.born_ms = int(time.time() * 1000) + self.clock_ahead_ms
         now = time.monotonic()
         cold_s = self.settings["cold_start_s"] if cold else 0.0
         self.cold_until = now + cold_s
